--- /dev/null
+++ b/cmd/tarragonpoint/main.go
@@ -0,0 +1,4 @@
+// Command tarragonpoint is the router and its operators' command line.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/record/record.go
@@ -0,0 +1,197 @@
+// Package record defines the typed records of the log's streams and their CBOR encoding.
+package record
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/uuid"
+	"github.com/joomcode/errorx"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+)
+
+var (
+	errNamespace = errorx.NewNamespace("record")
+	// ErrDecode reports bytes that are not a record of a known kind.
+	ErrDecode = errNamespace.NewType("decode")
+)
+
+// Stream names a stream of the log.
+type Stream string
+
+// Streams of the log.
+const (
+	// ConfigStream carries the operators' configuration.
+	ConfigStream Stream = "config"
+	// AssignStream carries slot owners and cell members.
+	AssignStream Stream = "assign"
+)
+
+// ID identifies a record. It is chosen by the writer and kept when the append is sent again.
+type ID uuid.UUID
+
+// NewID returns a random record ID.
+func NewID() ID { return ID(uuid.New()) }
+
+// Evidence says why a slot may be taken from its owner.
+type Evidence uint8
+
+// Kinds of evidence. The design page, section 5.4, defines them.
+const (
+	// EvidenceUnowned means that the slot had no owner.
+	EvidenceUnowned Evidence = iota + 1
+	// EvidenceRevoked means that the owner acknowledged the revocation.
+	EvidenceRevoked
+	// EvidenceLapsed means that no process renews the owner's lease and that it has run out.
+	EvidenceLapsed
+	// EvidenceGone means that the VM list no longer has the owner's VM.
+	EvidenceGone
+)
+
+// Record is one entry of a stream. Exactly one of the pointers is set.
+type Record struct {
+	ID           ID            `cbor:"1,keyasint"`
+	MemberJoin   *MemberJoin   `cbor:"2,keyasint,omitempty"`
+	MemberRemove *MemberRemove `cbor:"3,keyasint,omitempty"`
+	VMGone       *VMGone       `cbor:"4,keyasint,omitempty"`
+	Reassign     *Reassign     `cbor:"5,keyasint,omitempty"`
+	Split        *Split        `cbor:"6,keyasint,omitempty"`
+	Snapshot     *Snapshot     `cbor:"7,keyasint,omitempty"`
+	ConfigPatch  *ConfigPatch  `cbor:"8,keyasint,omitempty"`
+}
+
+// Entry is a record with its offset in the stream.
+type Entry struct {
+	Offset model.Offset `cbor:"1,keyasint"`
+	Record Record       `cbor:"2,keyasint"`
+}
+
+// Member is one process of an entry VM as a member of a cell.
+type Member struct {
+	VM          model.VMID        `cbor:"1,keyasint"`
+	Incarnation model.Incarnation `cbor:"2,keyasint"`
+	// Zone is the zone of the VM; it differs from the cell when a VM stands in for a cell without members.
+	Zone model.Zone `cbor:"3,keyasint"`
+	// Address is the peer address, host:port.
+	Address string `cbor:"4,keyasint"`
+}
+
+// MemberJoin adds a member to a cell. A join under a new incarnation replaces the older incarnation of the VM.
+type MemberJoin struct {
+	Cell   model.Zone `cbor:"1,keyasint"`
+	Member Member     `cbor:"2,keyasint"`
+}
+
+// MemberRemove removes a member from a cell. It is valid only at the given cell epoch.
+type MemberRemove struct {
+	Cell        model.Zone        `cbor:"1,keyasint"`
+	VM          model.VMID        `cbor:"2,keyasint"`
+	Incarnation model.Incarnation `cbor:"3,keyasint"`
+	CellEpoch   model.Offset      `cbor:"4,keyasint"`
+	// Stopped is true when the member itself leaves and states that it renews no lease any more.
+	Stopped bool `cbor:"5,keyasint,omitempty"`
+}
+
+// VMGone states that an entry VM's process has ended, as read from the VM list.
+type VMGone struct {
+	VM          model.VMID        `cbor:"1,keyasint"`
+	Incarnation model.Incarnation `cbor:"2,keyasint"`
+}
+
+// Move changes the owner of one slot.
+type Move struct {
+	Slot      model.Slot     `cbor:"1,keyasint"`
+	BaseEpoch model.Offset   `cbor:"2,keyasint"`
+	To        model.TargetID `cbor:"3,keyasint"`
+}
+
+// Reassign changes the owners of slots, whole or not at all. It is valid only if the cell's epoch and every slot's
+// base epoch are current.
+type Reassign struct {
+	Cell      model.Zone   `cbor:"1,keyasint"`
+	CellEpoch model.Offset `cbor:"2,keyasint"`
+	Evidence  Evidence     `cbor:"3,keyasint"`
+	Moves     []Move       `cbor:"4,keyasint"`
+}
+
+// Split gives a key a slot of its own. The owner stays the same.
+type Split struct {
+	Slot      model.Slot   `cbor:"1,keyasint"`
+	BaseEpoch model.Offset `cbor:"2,keyasint"`
+}
+
+// Snapshot holds the folded state up to and including Covers, so that older records may expire.
+type Snapshot struct {
+	Covers model.Offset `cbor:"1,keyasint"`
+	State  []byte       `cbor:"2,keyasint"`
+}
+
+// EntityKind names a kind of configuration entity.
+type EntityKind string
+
+// Kinds of configuration entities.
+const (
+	KindRegion  EntityKind = "region"
+	KindZone    EntityKind = "zone"
+	KindService EntityKind = "service"
+	KindTarget  EntityKind = "target"
+	KindTenant  EntityKind = "tenant"
+	KindRules   EntityKind = "rules"
+)
+
+// EntityKey identifies a configuration entity.
+type EntityKey struct {
+	Kind EntityKind `cbor:"1,keyasint"`
+	Name string     `cbor:"2,keyasint"`
+}
+
+// Entity is a configuration entity with its CBOR-encoded document.
+type Entity struct {
+	Key      EntityKey `cbor:"1,keyasint"`
+	Document []byte    `cbor:"2,keyasint"`
+}
+
+// ConfigPatch changes configuration entities, whole or not at all. It is valid only if Base is the current version.
+type ConfigPatch struct {
+	Author string       `cbor:"1,keyasint"`
+	Base   model.Offset `cbor:"2,keyasint"`
+	Set    []Entity     `cbor:"3,keyasint,omitempty"`
+	Delete []EntityKey  `cbor:"4,keyasint,omitempty"`
+}
+
+var encoding = mustEncoding()
+
+func mustEncoding() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Encode returns the deterministic CBOR encoding of any message or record.
+func Encode(value any) ([]byte, error) { return encoding.Marshal(value) }
+
+// Decode decodes one record. It returns ErrDecode if the bytes are malformed or name no known kind.
+func Decode(data []byte) (Record, error) {
+	var decoded Record
+	if err := cbor.Unmarshal(data, &decoded); err != nil {
+		return Record{}, ErrDecode.Wrap(err, "record is not valid CBOR")
+	}
+	if !decoded.hasOneKind() {
+		return Record{}, ErrDecode.New("record has no kind or more than one")
+	}
+	return decoded, nil
+}
+
+func (r Record) hasOneKind() bool {
+	kinds := 0
+	for _, set := range []bool{
+		r.MemberJoin != nil, r.MemberRemove != nil, r.VMGone != nil, r.Reassign != nil,
+		r.Split != nil, r.Snapshot != nil, r.ConfigPatch != nil,
+	} {
+		if set {
+			kinds++
+		}
+	}
+	return kinds == 1
+}
--- /dev/null
+++ b/internal/route/route.go
@@ -0,0 +1,126 @@
+// Package route defines the immutable routing table that the control loop publishes and the request path reads.
+package route
+
+import (
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/target"
+)
+
+// Fencing says whether a target checks fences and terms.
+type Fencing string
+
+// Kinds of fencing.
+const (
+	FencingChecked   Fencing = "checked"
+	FencingUnchecked Fencing = "unchecked"
+)
+
+// Status is the state of a target as its lessor last reported it.
+type Status struct {
+	Incarnation model.Incarnation `cbor:"1,keyasint"`
+	// Sequence orders the statuses of one lessor; a status with a lower term or sequence is dropped.
+	Sequence uint64     `cbor:"2,keyasint"`
+	Term     model.Term `cbor:"3,keyasint"`
+	// Serving is true while the lease is valid as far as the lessor knows.
+	Serving bool `cbor:"4,keyasint"`
+	Cold    bool `cbor:"5,keyasint,omitempty"`
+	// Draining is true when the target leaves; it gets no new work.
+	Draining bool `cbor:"6,keyasint,omitempty"`
+	// Limit is the number of concurrent requests that the target bears now.
+	Limit int `cbor:"7,keyasint"`
+	// Load is the load that the target reported; it lags.
+	Load int `cbor:"8,keyasint"`
+	// Lessor is the entry VM that sent the status.
+	Lessor model.VMID `cbor:"9,keyasint"`
+}
+
+// Target is a target as the request path sees it.
+type Target struct {
+	ID      model.TargetID
+	Service model.Service
+	Zone    model.Zone
+	Region  model.Region
+	Address target.Address
+	Fencing Fencing
+	// Status is nil until the first status arrived. A target without status gets no requests.
+	Status *Status
+	// InService is false when operators took the zone out of service or the VM leaves.
+	InService bool
+}
+
+// SlotLease is a slot that this VM's target holds under its lease.
+type SlotLease struct {
+	Fence model.Fence
+	// Since is the time from which this VM has been the only sender for the slot without interruption.
+	Since model.Instant
+}
+
+// Lease is the lessor's view of a target for which this VM is the lessor.
+type Lease struct {
+	Term        model.Term
+	Incarnation model.Incarnation
+	// ValidUntil is the end of the lease on the target's clock.
+	ValidUntil model.Instant
+	// LocalEnd is the time on this process's clock before which the lease is surely valid.
+	LocalEnd model.Instant
+	// Limit is the number of concurrent requests allowed now; below the service's concurrency during a cold start.
+	Limit int
+	Slots map[model.Slot]SlotLease
+}
+
+// Service is a service as the request path sees it.
+type Service struct {
+	Name  model.Service
+	Keyed bool
+	// Slots is the number of hash slots for each placement class.
+	Slots uint32
+	// Concurrency is the number of requests that one warm target runs at a time.
+	Concurrency int
+	// Targets are all targets, in order of ID.
+	Targets []*Target
+}
+
+// Tenant is a tenant as the request path sees it.
+type Tenant struct {
+	Name        model.Tenant
+	HomeRegions []model.Region
+	Class       model.Class
+	Suspended   bool
+}
+
+// Owner is the owner of a slot.
+type Owner struct {
+	Slot   model.Slot
+	Fence  model.Fence
+	Target *Target
+}
+
+// Table is the routing table of one entry VM. It is immutable.
+type Table struct {
+	VM            model.VMID
+	Zone          model.Zone
+	Region        model.Region
+	ConfigVersion model.Offset
+	AssignOffset  model.Offset
+	// Ready is true once the VM may serve: it has folded what every reachable peer has folded.
+	Ready    bool
+	Services map[model.Service]*Service
+	Tenants  map[model.Tenant]*Tenant
+	Targets  map[model.TargetID]*Target
+	// Owners maps each assigned slot to its owner.
+	Owners map[model.Slot]Owner
+	// Leases holds the targets for which this VM is the lessor now.
+	Leases map[model.TargetID]Lease
+	// PeerRegions maps the entry VMs to their regions.
+	PeerRegions map[model.VMID]model.Region
+}
+
+// Resolve returns the owner of a key. found is false if the slot has no owner.
+func (t *Table) Resolve(service *Service, class model.Class, keyHash uint64) (owner Owner, found bool) {
+	slot := model.HashSlot(service.Name, class, keyHash, service.Slots)
+	if owner, found = t.Owners[slot.Split(keyHash)]; found {
+		return owner, true
+	}
+	owner, found = t.Owners[slot]
+	return owner, found
+}
