--- /dev/null
+++ b/internal/cell/cell.go
@@ -0,0 +1,79 @@
+// Package cell detects silent members of a cell by their heartbeats and ranks members as lessors of targets.
+package cell
+
+import (
+	"sort"
+	"time"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/record"
+)
+
+const (
+	// HeartbeatInterval is the time between two heartbeats to the same peer.
+	HeartbeatInterval = 300 * time.Millisecond
+	// SuspectAfter is the silence after which a member is suspected; it allows for two lost heartbeats.
+	SuspectAfter = time.Second
+	// RemoveAfter is the silence after which a suspected member is removed from the cell.
+	RemoveAfter = 2 * time.Second
+)
+
+// Detector keeps the time of the last heartbeat of each VM.
+type Detector struct {
+	heard map[model.VMID]model.Instant
+}
+
+// NewDetector returns a detector that has heard of nobody.
+func NewDetector() *Detector {
+	return &Detector{heard: map[model.VMID]model.Instant{}}
+}
+
+// Heard notes a heartbeat.
+func (d *Detector) Heard(vm model.VMID, now model.Instant) { d.heard[vm] = now }
+
+// Expect starts the silence of a VM that was never heard, so that it is suspected if it stays silent.
+func (d *Detector) Expect(vm model.VMID, now model.Instant) {
+	if _, known := d.heard[vm]; !known {
+		d.heard[vm] = now
+	}
+}
+
+// Forget drops a VM.
+func (d *Detector) Forget(vm model.VMID) { delete(d.heard, vm) }
+
+// Silence returns for how long a VM has not been heard. A VM that is not known counts as silent forever.
+func (d *Detector) Silence(vm model.VMID, now model.Instant) time.Duration {
+	heard, known := d.heard[vm]
+	if !known {
+		return time.Duration(now) + RemoveAfter
+	}
+	return now.Sub(heard)
+}
+
+// IsSuspected reports whether a VM has been silent for SuspectAfter.
+func (d *Detector) IsSuspected(vm model.VMID, now model.Instant) bool {
+	return d.Silence(vm, now) >= SuspectAfter
+}
+
+// Rank orders the members of a cell as lessors of a target by rendezvous hashing; the first renews its lease.
+func Rank(target model.TargetID, members []record.Member) []model.VMID {
+	type weighted struct {
+		vm     model.VMID
+		weight uint64
+	}
+	ranked := make([]weighted, 0, len(members))
+	for _, member := range members {
+		ranked = append(ranked, weighted{vm: member.VM, weight: model.RendezvousWeight(string(target), string(member.VM))})
+	}
+	sort.Slice(ranked, func(i, j int) bool {
+		if ranked[i].weight != ranked[j].weight {
+			return ranked[i].weight > ranked[j].weight
+		}
+		return ranked[i].vm < ranked[j].vm
+	})
+	vms := make([]model.VMID, 0, len(ranked))
+	for _, entry := range ranked {
+		vms = append(vms, entry.vm)
+	}
+	return vms
+}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -25,6 +25,7 @@
 	CloseID       *CloseID       `cbor:"11,keyasint,omitempty"`
 	CancelForward *CancelForward `cbor:"12,keyasint,omitempty"`
 	HotKeys       *HotKeys       `cbor:"13,keyasint,omitempty"`
+	MoveRequest   *MoveRequest   `cbor:"14,keyasint,omitempty"`
 }
 
 // Heartbeat says that a process is alive and how far it has folded the streams.
@@ -55,6 +56,9 @@
 	Cell      model.Zone     `cbor:"1,keyasint"`
 	CellEpoch model.Offset   `cbor:"2,keyasint"`
 	Target    model.TargetID `cbor:"3,keyasint"`
+	// Sequence is from the same counter as the sender's statuses. A later status that says that the target serves releases
+	// the receiver.
+	Sequence uint64 `cbor:"4,keyasint"`
 }
 
 // StopStatement answers a StopQuery. The sender renews no lease of the target until the cell's epoch changes, the
@@ -166,3 +170,8 @@
 type HotKeys struct {
 	Keys []HotKey `cbor:"1,keyasint"`
 }
+
+// MoveRequest asks the lessor of the slots' owners to move them. The lessor decides when it is safe.
+type MoveRequest struct {
+	Moves []record.Move `cbor:"1,keyasint"`
+}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -57,6 +57,7 @@
 	Split        *Split        `cbor:"6,keyasint,omitempty"`
 	Snapshot     *Snapshot     `cbor:"7,keyasint,omitempty"`
 	ConfigPatch  *ConfigPatch  `cbor:"8,keyasint,omitempty"`
+	TargetUp     *TargetUp     `cbor:"9,keyasint,omitempty"`
 }
 
 // Entry is a record with its offset in the stream.
@@ -87,7 +88,7 @@
 	VM          model.VMID        `cbor:"2,keyasint"`
 	Incarnation model.Incarnation `cbor:"3,keyasint"`
 	CellEpoch   model.Offset      `cbor:"4,keyasint"`
-	// Stopped is true when the member itself leaves and states that it renews no lease any more.
+	// Stopped is true when the member itself leaves. It renews no lease after it appended this record.
 	Stopped bool `cbor:"5,keyasint,omitempty"`
 }
 
@@ -119,6 +120,17 @@
 	BaseEpoch model.Offset `cbor:"2,keyasint"`
 }
 
+// TargetUp registers a new incarnation of a target. Only a registered incarnation is granted slots: whoever grants has then
+// folded every assignment that an earlier incarnation may have forgotten. It is valid only if Previous is the registered
+// incarnation and the cell's epoch is current.
+type TargetUp struct {
+	Cell        model.Zone        `cbor:"1,keyasint"`
+	CellEpoch   model.Offset      `cbor:"2,keyasint"`
+	Target      model.TargetID    `cbor:"3,keyasint"`
+	Previous    model.Incarnation `cbor:"4,keyasint"`
+	Incarnation model.Incarnation `cbor:"5,keyasint"`
+}
+
 // Snapshot holds the folded state up to and including Covers, so that older records may expire.
 type Snapshot struct {
 	Covers model.Offset `cbor:"1,keyasint"`
@@ -187,7 +199,7 @@
 	kinds := 0
 	for _, set := range []bool{
 		r.MemberJoin != nil, r.MemberRemove != nil, r.VMGone != nil, r.Reassign != nil,
-		r.Split != nil, r.Snapshot != nil, r.ConfigPatch != nil,
+		r.Split != nil, r.Snapshot != nil, r.ConfigPatch != nil, r.TargetUp != nil,
 	} {
 		if set {
 			kinds++
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -84,7 +84,8 @@
 	Incarnation model.Incarnation `json:"incarnation"`
 	// ValidUntil is the end of the lease on the target's monotonic clock, in ns; 0 reads the clock only.
 	ValidUntil model.Instant `json:"valid_until"`
-	// GrantsVersion identifies the set of grants. Grants are sent when the target has another version.
+	// GrantsVersion identifies the set of grants. If it differs from the target's and HasGrants is false, the target reads the
+	// clock only: a lease must never extend grants that the lessor did not name.
 	GrantsVersion uint64  `json:"grants_version"`
 	HasGrants     bool    `json:"has_grants,omitempty"`
 	Grants        []Grant `json:"grants,omitempty"`
@@ -104,6 +105,9 @@
 	Draining      bool              `json:"draining,omitempty"`
 	// Load is the number of running and queued requests as the target reports it; it lags.
 	Load int `json:"load"`
+	// Revoked lists granted slots that the target refuses because it acknowledged their revocation under the same or a
+	// higher fence.
+	Revoked []model.Slot `json:"revoked,omitempty"`
 }
 
 // RevokeRequest takes slots from a target.
@@ -113,7 +117,7 @@
 	Slots  []model.Slot `json:"slots"`
 }
 
-// RevokeReply answers a revocation. The slots are free when Accepted is true and Running is 0; the target refuses new
+// RevokeReply answers a revocation. A target that revoked a split slot refuses its key under the hash slot too. The slots are free when Accepted is true and Running is 0; the target refuses new
 // requests for them from its first answer on, and keeps refusing until it is granted a higher fence.
 type RevokeReply struct {
 	Accepted    bool              `json:"accepted"`
