--- /dev/null
+++ b/internal/control/leases.go
@@ -0,0 +1,258 @@
+package control
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/cell"
+	"github.com/tarragonpoint/tarragonpoint/internal/config"
+	"github.com/tarragonpoint/tarragonpoint/internal/lease"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/record"
+	"github.com/tarragonpoint/tarragonpoint/internal/route"
+	"github.com/tarragonpoint/tarragonpoint/internal/target"
+)
+
+// targetState is the control state for one target of the cells that this VM is a member of, or may become one of.
+type targetState struct {
+	id     model.TargetID
+	config config.Target
+	keeper *lease.Keeper
+	ramp   ramp
+	// acting is true while this VM is the acting lessor.
+	acting bool
+	term   model.Term
+	silent bool
+
+	grants        []target.Grant
+	grantsVersion uint64
+	// grantsAt is the assign offset for which grants were computed; 0 if they must be computed again.
+	grantsAt model.Offset
+
+	takeover *takeover
+	// stopFor is the query for which this VM stated that it does not renew; nil if none.
+	stopFor *stopPromise
+	// exclusive is the collection of statements that lets this VM act for a target that does not check terms.
+	exclusive *takeover
+
+	moves          map[model.Slot]*slotMove
+	revokeSequence uint64
+	revokeInflight bool
+	revokeAt       model.Instant
+}
+
+// onConfig brings the target states in line with the configuration.
+func (n *Node) onConfig() {
+	state := n.config.State()
+	for id, configured := range state.Targets {
+		known, ok := n.targets[id]
+		if !ok || known.config.Address != configured.Address {
+			known = &targetState{id: id, keeper: lease.NewKeeper(n.settings.VM), moves: map[model.Slot]*slotMove{}}
+			n.targets[id] = known
+		}
+		known.config = configured
+	}
+	for id := range n.targets {
+		if _, ok := state.Targets[id]; !ok {
+			delete(n.targets, id)
+			delete(n.statuses, id)
+		}
+	}
+}
+
+func (n *Node) zoneOf(id model.TargetID) model.Zone { return n.targets[id].config.Zone }
+
+// keepLeases decides for each target whether this VM acts as its lessor, and sends the renewals that are due.
+func (n *Node) keepLeases() {
+	ranks := map[model.Zone][]record.Member{}
+	for _, id := range sortedKeys(n.targets) {
+		state := n.targets[id]
+		zone := state.config.Zone
+		members, known := ranks[zone]
+		if !known {
+			members = n.assign.state.Members(zone)
+			ranks[zone] = members
+		}
+		n.decideRole(state, members)
+		if state.acting {
+			n.registerIncarnation(state)
+			n.renew(state)
+		}
+	}
+}
+
+// decideRole sets whether this VM acts as the lessor of a target, and under which term.
+func (n *Node) decideRole(state *targetState, members []record.Member) {
+	acting, term := n.role(state, members)
+	if acting && !state.acting && term.Rank > 0 {
+		n.emit(Notice{Kind: NoticeSteppedIn, Target: state.id})
+	}
+	if acting != state.acting || term != state.term {
+		n.dirty = true
+		n.pendingStats[state.id] = true
+	}
+	state.acting = acting
+	state.term = term
+}
+
+func (n *Node) role(state *targetState, members []record.Member) (acting bool, term model.Term) {
+	zone := state.config.Zone
+	if n.leaving || !n.isMember(zone) {
+		return false, model.Term{}
+	}
+	ranked := cell.Rank(state.id, members)
+	own := 0
+	for ranked[own] != n.settings.VM {
+		own++
+	}
+	term = model.Term{Epoch: n.assign.state.CellEpoch(zone), Rank: uint16(own)}
+	if n.service(state).Fencing == route.FencingUnchecked {
+		return own == 0 && n.isExclusive(state), term
+	}
+	if refused := state.keeper.Refused(); refused.Epoch == term.Epoch && term.Less(refused) {
+		holder := ranked[int(refused.Rank)%len(ranked)]
+		if n.isAlive(holder) {
+			return false, term
+		}
+		term.Rank = nextRank(refused.Rank, uint16(own), uint16(len(ranked)))
+	}
+	if holding, ok := state.keeper.Holding(n.now); ok && holding.Term == term {
+		return true, term
+	}
+	for _, vm := range ranked[:own] {
+		if n.isAlive(vm) {
+			return false, term
+		}
+	}
+	return true, term
+}
+
+// nextRank returns the lowest rank above refused that belongs to the member with rank own among count members. Ranks
+// beyond count let a member act again after one with a higher rank was lost within the same cell epoch.
+func nextRank(refused, own, count uint16) uint16 {
+	rank := refused - refused%count + own
+	if rank <= refused {
+		rank += count
+	}
+	return rank
+}
+
+func (n *Node) service(state *targetState) config.Service {
+	return n.config.State().Services[state.config.Service]
+}
+
+// registerIncarnation records a new incarnation of a target, which lets it be granted slots. While the old incarnation
+// may still hold a lease, that waits: nobody can have renewed it after the new one first answered.
+func (n *Node) registerIncarnation(state *targetState) {
+	incarnation, firstSeen := state.keeper.Incarnation()
+	registered := n.assign.state.Incarnations[state.id]
+	if incarnation == 0 || incarnation == registered {
+		return
+	}
+	if n.assign.state.OwnedCount(state.id) > 0 && n.now.Sub(firstSeen) < lease.Bound {
+		return
+	}
+	zone := state.config.Zone
+	up := record.TargetUp{
+		Cell:        zone,
+		CellEpoch:   n.assign.state.CellEpoch(zone),
+		Target:      state.id,
+		Previous:    registered,
+		Incarnation: incarnation,
+	}
+	obsolete := func() bool {
+		return n.assign.state.Incarnations[up.Target] != up.Previous || n.assign.state.CellEpoch(zone) != up.CellEpoch
+	}
+	n.submit(record.AssignStream, "up "+string(state.id), record.Record{TargetUp: &up}, obsolete)
+}
+
+func (n *Node) renew(state *targetState) {
+	n.refreshGrants(state)
+	if state.takeover == nil && state.stopFor == nil {
+		state.keeper.Resume()
+	}
+	call, due := state.keeper.Next(n.now, lease.Directive{
+		Active:     true,
+		Term:       state.term,
+		Registered: n.assign.state.Incarnations[state.id],
+		Grants:     state.grants,
+		Version:    state.grantsVersion,
+	})
+	if !due {
+		return
+	}
+	n.emit(Renew{
+		Target:   state.id,
+		Address:  state.config.Address,
+		Sequence: call.Sequence,
+		Request:  call.Request,
+		Fresh:    call.Fresh,
+	})
+}
+
+// refreshGrants computes the grants of a target: its slots without those that are being revoked.
+func (n *Node) refreshGrants(state *targetState) {
+	if state.grantsAt == n.assign.Offset() && state.grantsAt != 0 {
+		return
+	}
+	state.grantsAt = n.assign.Offset()
+	before := state.grantsVersion
+	state.grants = nil
+	for _, slot := range n.assign.state.Owned(state.id) {
+		if _, moving := state.moves[slot]; moving {
+			continue
+		}
+		grant := target.Grant{Slot: slot, Fence: model.Fence(n.assign.state.Slots[slot].Epoch)}
+		if !slot.IsSplit() {
+			grant.Excluded = n.assign.state.Splits[slot]
+		}
+		state.grants = append(state.grants, grant)
+	}
+	state.grantsVersion = versionOf(state.grants)
+	if state.grantsVersion != before {
+		state.keeper.Hurry(n.now)
+	}
+}
+
+// versionOf identifies a set of grants by its content, so that different lessors agree on it. It is never 0.
+func versionOf(grants []target.Grant) uint64 {
+	encoded, err := record.Encode(grants)
+	if err != nil {
+		return 1
+	}
+	return max(1, xxhash.Sum64(encoded))
+}
+
+func (n *Node) onRenewDone(done RenewDone) {
+	state, ok := n.targets[done.Target]
+	if !ok {
+		return
+	}
+	if done.Reply == nil {
+		state.keeper.Failed(n.now, done.Sequence)
+		n.noteSilence(state)
+		return
+	}
+	changed := state.keeper.Answered(n.now, done.Sequence, *done.Reply)
+	if state.silent {
+		state.silent = false
+		changed = true
+		n.emit(Notice{Kind: NoticeTargetBack, Target: state.id})
+	}
+	n.cancelTakeover(state)
+	n.regrantRevoked(state)
+	state.ramp.observe(n.now, state, n.service(state), n.statuses[state.id], done.Reply.Cold)
+	if changed {
+		n.dirty = true
+		n.pendingStats[state.id] = true
+	}
+}
+
+func (n *Node) noteSilence(state *targetState) {
+	if state.silent || state.keeper.Failures() < suspectFailures {
+		return
+	}
+	state.silent = true
+	n.dirty = true
+	n.pendingStats[state.id] = true
+	n.emit(Notice{Kind: NoticeTargetSilent, Target: state.id})
+}
--- /dev/null
+++ b/internal/control/members.go
@@ -0,0 +1,271 @@
+package control
+
+import (
+	"github.com/tarragonpoint/tarragonpoint/internal/cell"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/record"
+)
+
+// standInCount is the number of VMs that join a cell whose own members are all gone.
+const standInCount = 2
+
+// isMember reports whether this process is a member of a cell under its current incarnation.
+func (n *Node) isMember(zone model.Zone) bool {
+	c, ok := n.assign.state.Cells[zone]
+	if !ok {
+		return false
+	}
+	member, ok := c.Members[n.settings.VM]
+	return ok && member.Incarnation == n.incarnation
+}
+
+// maintainMembership joins the own cell, removes silent members, records gone VMs and fills empty cells.
+func (n *Node) maintainMembership() {
+	n.updateReady()
+	n.finishLeaving()
+	if n.leaving || !n.streams[record.AssignStream].synced {
+		return
+	}
+	n.renewIncarnation()
+	n.join(n.settings.Zone)
+	n.removeSilent()
+	n.recordGone()
+	n.standIn()
+}
+
+// renewIncarnation takes a new incarnation after this VM was removed, so that it can join again.
+func (n *Node) renewIncarnation() {
+	highest := model.Incarnation(0)
+	for _, c := range n.assign.state.Cells {
+		if removed, ok := c.Removed[n.settings.VM]; ok {
+			highest = max(highest, removed.Incarnation)
+		}
+	}
+	if highest >= n.incarnation {
+		n.incarnation = highest + 1
+		n.emit(Notice{Kind: NoticeRemoved})
+	}
+}
+
+func (n *Node) join(zone model.Zone) {
+	if n.isMember(zone) {
+		return
+	}
+	join := record.MemberJoin{Cell: zone, Member: record.Member{
+		VM:          n.settings.VM,
+		Incarnation: n.incarnation,
+		Zone:        n.settings.Zone,
+		Address:     n.settings.Address,
+	}}
+	joined := func() bool {
+		return n.isMember(zone) || n.leaving || join.Member.Incarnation != n.incarnation
+	}
+	n.submit(record.AssignStream, "join "+string(zone), record.Record{MemberJoin: &join}, joined)
+}
+
+// removeSilent removes members of the own cells that have been silent for cell.RemoveAfter. Only the first member that
+// is not suspected does so, which keeps the others from racing.
+func (n *Node) removeSilent() {
+	for _, zone := range sortedKeys(n.assign.state.Cells) {
+		if !n.isMember(zone) || n.firstAlive(zone) != n.settings.VM {
+			continue
+		}
+		for _, member := range n.assign.state.Members(zone) {
+			if member.VM == n.settings.VM {
+				continue
+			}
+			n.detector.Expect(member.VM, n.now)
+			if n.detector.Silence(member.VM, n.now) >= cell.RemoveAfter {
+				n.remove(zone, member)
+				break
+			}
+		}
+	}
+}
+
+func (n *Node) remove(zone model.Zone, member record.Member) {
+	epoch := n.assign.state.CellEpoch(zone)
+	remove := record.MemberRemove{Cell: zone, VM: member.VM, Incarnation: member.Incarnation, CellEpoch: epoch}
+	stale := func() bool { return n.assign.state.CellEpoch(zone) != epoch }
+	if n.submit(record.AssignStream, "remove "+string(zone), record.Record{MemberRemove: &remove}, stale) {
+		n.emit(Notice{Kind: NoticeMemberSilent, VM: member.VM})
+	}
+}
+
+// firstAlive returns the first member of a cell that this VM does not suspect.
+func (n *Node) firstAlive(zone model.Zone) model.VMID {
+	for _, member := range n.assign.state.Members(zone) {
+		if n.isAlive(member.VM) {
+			return member.VM
+		}
+	}
+	return ""
+}
+
+// isAlive reports whether a member of an own cell is not suspected.
+func (n *Node) isAlive(vm model.VMID) bool {
+	return vm == n.settings.VM || !n.detector.IsSuspected(vm, n.now)
+}
+
+// recordGone records entry VMs that the VM list no longer has, so that their statements need not be awaited.
+func (n *Node) recordGone() {
+	if !n.isPlanner() && n.firstAlive(n.settings.Zone) != n.settings.VM {
+		return
+	}
+	for _, zone := range sortedKeys(n.assign.state.Cells) {
+		members := append(n.assign.state.Members(zone), n.assign.state.Removed(zone)...)
+		for _, member := range members {
+			n.recordVMGone(member)
+		}
+	}
+}
+
+func (n *Node) recordVMGone(member record.Member) {
+	if member.VM == n.settings.VM || n.isReachable(member.VM) || !n.watch.isGone(member.VM) {
+		return
+	}
+	gone := record.VMGone{VM: member.VM, Incarnation: member.Incarnation}
+	known := func() bool { return !n.mayAct(gone) }
+	if n.submit(record.AssignStream, "gone "+string(member.VM), record.Record{VMGone: &gone}, known) {
+		n.emit(Notice{Kind: NoticeVMGone, VM: member.VM})
+	}
+}
+
+// mayAct reports whether a cell still lists the incarnation as a member or as removed.
+func (n *Node) mayAct(gone record.VMGone) bool {
+	for _, c := range n.assign.state.Cells {
+		if member, ok := c.Members[gone.VM]; ok && member.Incarnation <= gone.Incarnation {
+			return true
+		}
+		if removed, ok := c.Removed[gone.VM]; ok && removed.Incarnation <= gone.Incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+// standIn joins cells of other zones whose members are all gone, and leaves them when an own member is back.
+func (n *Node) standIn() {
+	for _, zone := range n.zonesWithTargets() {
+		if zone == n.settings.Zone {
+			continue
+		}
+		if n.isMember(zone) {
+			n.leaveStandIn(zone)
+			continue
+		}
+		members := n.assign.state.Members(zone)
+		if len(members) >= standInCount || n.hasOwnMember(zone) || len(n.assign.state.Removed(zone)) > 0 {
+			continue
+		}
+		if n.isStandInFor(zone) {
+			n.join(zone)
+		}
+	}
+}
+
+func (n *Node) hasOwnMember(zone model.Zone) bool {
+	for _, member := range n.assign.state.Members(zone) {
+		if member.Zone == zone {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *Node) leaveStandIn(zone model.Zone) {
+	if n.hasOwnMember(zone) {
+		n.leaveCell(zone)
+	}
+}
+
+func (n *Node) leaveCell(zone model.Zone) {
+	epoch := n.assign.state.CellEpoch(zone)
+	leave := record.MemberRemove{
+		Cell:        zone,
+		VM:          n.settings.VM,
+		Incarnation: n.incarnation,
+		CellEpoch:   epoch,
+		Stopped:     true,
+	}
+	stale := func() bool { return n.assign.state.CellEpoch(zone) != epoch }
+	n.submit(record.AssignStream, "leave "+string(zone), record.Record{MemberRemove: &leave}, stale)
+}
+
+// isStandInFor reports whether this VM is among the first reachable VMs that stand in for a cell: those of the same
+// region if there are any, else those of any region.
+func (n *Node) isStandInFor(zone model.Zone) bool {
+	region := n.config.State().RegionOf(zone)
+	same, others := n.reachableVMs(region)
+	if len(same) == 0 {
+		same = others
+	}
+	for i, vm := range same {
+		if vm == n.settings.VM && i < standInCount {
+			return true
+		}
+	}
+	return false
+}
+
+// reachableVMs returns the reachable members of all cells, by whether they are in the region, in order of VM.
+func (n *Node) reachableVMs(region model.Region) (same, others []model.VMID) {
+	zones := map[model.VMID]model.Zone{}
+	for _, c := range n.assign.state.Cells {
+		for vm, member := range c.Members {
+			zones[vm] = member.Zone
+		}
+	}
+	for _, vm := range sortedKeys(zones) {
+		if !n.isReachable(vm) {
+			continue
+		}
+		if n.config.State().RegionOf(zones[vm]) == region {
+			same = append(same, vm)
+		} else {
+			others = append(others, vm)
+		}
+	}
+	return same, others
+}
+
+// isPlanner reports whether this VM is the first reachable member of all cells, which plans placement and snapshots.
+func (n *Node) isPlanner() bool {
+	if n.leaving || !n.logUp || !n.isMember(n.settings.Zone) {
+		return false
+	}
+	for _, c := range n.assign.state.Cells {
+		for vm := range c.Members {
+			if vm < n.settings.VM && n.isReachable(vm) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// onLeave starts a planned stop: this VM stops renewing and states so in the log, so that others act at once.
+func (n *Node) onLeave() {
+	n.leaving = true
+	n.dirty = true
+	n.heartbeatAt = 0
+	n.farBeatAt = 0
+	for _, state := range n.targets {
+		state.keeper.Stop()
+	}
+}
+
+// finishLeaving leaves all cells. It emits Left once no cell lists this process.
+func (n *Node) finishLeaving() {
+	if !n.leaving || n.left {
+		return
+	}
+	for _, zone := range sortedKeys(n.assign.state.Cells) {
+		if n.isMember(zone) {
+			n.leaveCell(zone)
+			return
+		}
+	}
+	n.left = true
+	n.emit(Left{})
+}
--- /dev/null
+++ b/internal/control/moves.go
@@ -0,0 +1,205 @@
+package control
+
+import (
+	"github.com/tarragonpoint/tarragonpoint/internal/lease"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/record"
+	"github.com/tarragonpoint/tarragonpoint/internal/target"
+)
+
+// slotMove is a planned move of one slot away from a target for which this VM acts.
+type slotMove struct {
+	move record.Move
+	// revoked is true once the target acknowledged the revocation and no request for the slot runs any more.
+	revoked bool
+	// revokedBy is the incarnation that acknowledged.
+	revokedBy model.Incarnation
+	handedOff bool
+}
+
+// startMoves takes requests to move slots. Those that are not possible now are dropped; the planner asks again.
+func (n *Node) startMoves(moves []record.Move) {
+	for _, move := range moves {
+		ownership, owned := n.assign.state.Slots[move.Slot]
+		if !owned || ownership.Epoch != move.BaseEpoch || ownership.Owner == move.To {
+			continue
+		}
+		state, known := n.targets[ownership.Owner]
+		if !known || !n.canRevoke(state) || !n.mayReceive(move) {
+			continue
+		}
+		if _, moving := state.moves[move.Slot]; moving {
+			continue
+		}
+		state.moves[move.Slot] = &slotMove{move: move}
+		state.grantsAt = 0
+		n.dirty = true
+	}
+}
+
+// canRevoke reports whether this VM may revoke slots of a target: it holds the lease, and the target knows the newest
+// grants, so that keys split from a slot are already excluded from it.
+func (n *Node) canRevoke(state *targetState) bool {
+	holding, ok := state.keeper.Holding(n.now)
+	if !ok || !state.acting || n.leaving || state.takeover != nil || state.stopFor != nil {
+		return false
+	}
+	n.refreshGrants(state)
+	return holding.Version == state.grantsVersion || len(state.moves) > 0
+}
+
+// mayReceive reports whether the new owner of a move can take it.
+func (n *Node) mayReceive(move record.Move) bool {
+	state := n.config.State()
+	receiver, known := state.Targets[move.To]
+	if !known || receiver.Drain || !n.isInService(state, receiver) {
+		return false
+	}
+	if !move.Slot.Class.Allows(state.RegionOf(receiver.Zone)) {
+		return false
+	}
+	status := n.currentStatus(move.To)
+	return status != nil && status.Serving && !status.Draining
+}
+
+// runMoves drives the planned moves of each target: revoke, hand the at-most-once table over, append.
+func (n *Node) runMoves() {
+	for _, id := range sortedKeys(n.targets) {
+		state := n.targets[id]
+		if len(state.moves) == 0 {
+			continue
+		}
+		if !state.acting || state.keeper.Failures() >= suspectFailures {
+			n.dropMoves(state)
+			continue
+		}
+		n.dropVoidMoves(state)
+		n.revoke(state)
+		n.appendMoves(state)
+	}
+}
+
+// dropMoves gives up moves that were not appended. Slots that the target already revoked are given a new fence later, when
+// its next answer lists them.
+func (n *Node) dropMoves(state *targetState) {
+	if n.outbox.has(movePurpose(state.id)) {
+		return
+	}
+	state.moves = map[model.Slot]*slotMove{}
+	state.grantsAt = 0
+	n.dirty = true
+}
+
+func (n *Node) dropVoidMoves(state *targetState) {
+	incarnation, _ := state.keeper.Incarnation()
+	for slot, moving := range state.moves {
+		void := n.assign.state.Slots[slot].Epoch != moving.move.BaseEpoch
+		restarted := moving.revoked && moving.revokedBy != incarnation
+		if void || (restarted && !n.outbox.has(movePurpose(state.id))) {
+			delete(state.moves, slot)
+			state.grantsAt = 0
+		}
+	}
+}
+
+func (n *Node) revoke(state *targetState) {
+	if state.revokeInflight || n.now < state.revokeAt {
+		return
+	}
+	slots := pendingSlots(state)
+	if len(slots) == 0 {
+		return
+	}
+	n.sequence++
+	state.revokeSequence = n.sequence
+	state.revokeInflight = true
+	n.emit(Revoke{
+		Target:   state.id,
+		Address:  state.config.Address,
+		Sequence: state.revokeSequence,
+		Request:  target.RevokeRequest{Lessor: n.settings.VM, Term: state.term, Slots: slots},
+	})
+}
+
+func pendingSlots(state *targetState) []model.Slot {
+	var slots []model.Slot
+	for _, slot := range sortedSlots(state.moves) {
+		if !state.moves[slot].revoked {
+			slots = append(slots, slot)
+		}
+	}
+	return slots
+}
+
+func (n *Node) onRevokeDone(done RevokeDone) {
+	state, known := n.targets[done.Target]
+	if !known || state.revokeSequence != done.Sequence || !state.revokeInflight {
+		return
+	}
+	state.revokeInflight = false
+	state.revokeAt = n.now.Add(lease.RevokeInterval)
+	incarnation, _ := state.keeper.Incarnation()
+	if done.Reply == nil || !done.Reply.Accepted || done.Reply.Running > 0 || done.Reply.Incarnation != incarnation {
+		return
+	}
+	for _, moving := range state.moves {
+		if !moving.revoked && moving.sentIn(done.Sequence, state) {
+			moving.revoked = true
+			moving.revokedBy = incarnation
+		}
+	}
+}
+
+// appendMoves appends the revoked moves of a target in one record.
+func (n *Node) appendMoves(state *targetState) {
+	if n.outbox.has(movePurpose(state.id)) {
+		return
+	}
+	var moves []record.Move
+	for _, slot := range sortedSlots(state.moves) {
+		moving := state.moves[slot]
+		if !moving.revoked || len(moves) == maxMovesPerRecord {
+			continue
+		}
+		n.handOff(moving)
+		moves = append(moves, moving.move)
+	}
+	if len(moves) == 0 {
+		return
+	}
+	if n.reassign(state.config.Zone, movePurpose(state.id), record.EvidenceRevoked, moves) {
+		n.emit(Notice{Kind: NoticeMoved, Target: state.id, Count: len(moves)})
+	}
+}
+
+// handOff sends the at-most-once table of a revoked slot to the lessor of the new owner.
+func (n *Node) handOff(moving *slotMove) {
+	if moving.handedOff {
+		return
+	}
+	moving.handedOff = true
+	if status := n.currentStatus(moving.move.To); status != nil {
+		n.emit(HandOver{Slots: []model.Slot{moving.move.Slot}, To: status.Lessor})
+	}
+}
+
+func movePurpose(id model.TargetID) string { return "move " + string(id) }
+
+// regrantRevoked gives slots that a target refuses, because an earlier lessor revoked them and did not finish the move, a
+// new fence with the same owner.
+func (n *Node) regrantRevoked(state *targetState) {
+	if !state.acting || n.outbox.has(movePurpose(state.id)) {
+		return
+	}
+	var moves []record.Move
+	for _, slot := range state.keeper.Reply().Revoked {
+		ownership, owned := n.assign.state.Slots[slot]
+		if _, moving := state.moves[slot]; moving || !owned || ownership.Owner != state.id {
+			continue
+		}
+		moves = append(moves, record.Move{Slot: slot, BaseEpoch: ownership.Epoch, To: state.id})
+	}
+	if len(moves) > 0 {
+		n.reassign(state.config.Zone, movePurpose(state.id), record.EvidenceRevoked, moves)
+	}
+}
--- /dev/null
+++ b/internal/control/node.go
@@ -0,0 +1,186 @@
+// Package control is the control loop of one entry VM as a deterministic state machine: it folds the log, keeps the
+// leases of its targets, detects failures, moves slots and builds the routing table. Node.Step takes one event and
+// returns the effects to carry out; it does no I/O and reads no clock.
+package control
+
+import (
+	"bytes"
+	"sort"
+	"time"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/assign"
+	"github.com/tarragonpoint/tarragonpoint/internal/cell"
+	"github.com/tarragonpoint/tarragonpoint/internal/config"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/record"
+	"github.com/tarragonpoint/tarragonpoint/internal/route"
+)
+
+// TickInterval is the longest time between two steps.
+const TickInterval = 25 * time.Millisecond
+
+// Settings are the fixed values of a node.
+type Settings struct {
+	VM   model.VMID
+	Zone model.Zone
+	// Region is the region of the zone.
+	Region      model.Region
+	Incarnation model.Incarnation
+	// Address is the peer address of this VM, host:port.
+	Address string
+	// Seeds are the peers known from the settings, by VM.
+	Seeds map[model.VMID]string
+	// Retention is the time for which the log keeps records.
+	Retention time.Duration
+	// NewID returns the ID for a new record.
+	NewID func() record.ID
+}
+
+// Node is the control state of one entry VM. It is not safe for concurrent use.
+type Node struct {
+	settings    Settings
+	incarnation model.Incarnation
+	now         model.Instant
+	effects     []Effect
+
+	assign   *assignFold
+	config   *configFold
+	streams  map[record.Stream]*stream
+	outbox   *outbox
+	detector *cell.Detector
+	peers    map[model.VMID]*peer
+	watch    *vmWatch
+
+	targets  map[model.TargetID]*targetState
+	statuses map[model.TargetID]*knownStatus
+	// cellChanged is when this VM folded the last change of each cell's members.
+	cellChanged map[model.Zone]model.Instant
+	sequence    uint64
+	hot         *hotKeys
+
+	logUp     bool
+	logSeenAt model.Instant
+	ready     bool
+	leaving   bool
+	left      bool
+	dirty     bool
+
+	heartbeatAt  model.Instant
+	farBeatAt    model.Instant
+	statusAt     model.Instant
+	planAt       model.Instant
+	publishedAt  model.Instant
+	snapshotAt   map[record.Stream]model.Instant
+	knownPeers   map[model.VMID]string
+	requestedAt  map[model.Slot]model.Instant
+	table        *route.Table
+	pendingStats map[model.TargetID]bool
+}
+
+// NewNode returns a node that has folded nothing.
+func NewNode(settings Settings) *Node {
+	n := &Node{
+		settings:     settings,
+		incarnation:  settings.Incarnation,
+		assign:       &assignFold{state: assign.New()},
+		config:       newConfigFold(),
+		outbox:       newOutbox(),
+		detector:     cell.NewDetector(),
+		peers:        map[model.VMID]*peer{},
+		watch:        newVMWatch(),
+		targets:      map[model.TargetID]*targetState{},
+		statuses:     map[model.TargetID]*knownStatus{},
+		cellChanged:  map[model.Zone]model.Instant{},
+		hot:          newHotKeys(),
+		snapshotAt:   map[record.Stream]model.Instant{},
+		knownPeers:   map[model.VMID]string{},
+		requestedAt:  map[model.Slot]model.Instant{},
+		pendingStats: map[model.TargetID]bool{},
+	}
+	n.streams = map[record.Stream]*stream{
+		record.AssignStream: {name: record.AssignStream, fold: n.assign},
+		record.ConfigStream: {name: record.ConfigStream, fold: n.config},
+	}
+	return n
+}
+
+// NextOffset returns the offset from which a stream should be read next.
+func (n *Node) NextOffset(name record.Stream) model.Offset { return n.streams[name].fold.Offset() + 1 }
+
+// Assignments returns the folded assignments, for reading only.
+func (n *Node) Assignments() *assign.State { return n.assign.state }
+
+// Config returns the configuration in force, for reading only.
+func (n *Node) Config() config.State { return n.config.State() }
+
+// Table returns the routing table that was published last; nil before the first.
+func (n *Node) Table() *route.Table { return n.table }
+
+// Step takes one event at an instant of this process's clock and returns the effects to carry out, in order.
+func (n *Node) Step(now model.Instant, event Event) []Effect {
+	n.now = max(n.now, now)
+	n.effects = nil
+	n.handle(event)
+	n.advance()
+	return n.effects
+}
+
+func (n *Node) handle(event Event) {
+	switch e := event.(type) {
+	case LogRead:
+		n.onLogRead(e)
+	case LogDown:
+		n.onLogDown()
+	case AppendDone:
+		n.onAppendDone(e)
+	case PeerMessage:
+		n.onPeerMessage(e)
+	case RenewDone:
+		n.onRenewDone(e)
+	case RevokeDone:
+		n.onRevokeDone(e)
+	case VMListRead:
+		n.onVMList(e)
+	case Leave:
+		n.onLeave()
+	case HotKeysFound:
+		n.onHotKeys(e)
+	case Tick:
+	}
+}
+
+// advance runs the work that depends on time or on folded state.
+func (n *Node) advance() {
+	n.retryAppends()
+	n.updatePeers()
+	n.maintainMembership()
+	n.sendHeartbeats()
+	n.keepLeases()
+	n.takeOver()
+	n.runMoves()
+	n.plan()
+	n.sendStatuses()
+	n.snapshot()
+	n.publish()
+}
+
+func (n *Node) emit(effect Effect) { n.effects = append(n.effects, effect) }
+
+func sortedIDs(items map[record.ID]*outgoing) []record.ID {
+	ids := make([]record.ID, 0, len(items))
+	for id := range items {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return bytes.Compare(ids[i][:], ids[j][:]) < 0 })
+	return ids
+}
+
+// sortedKeys returns the keys of a map in order, so that effects do not depend on map order.
+func sortedKeys[K ~string, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	sort.Slice(keys, func(i, j int) bool { return keys[i] < keys[j] })
+	return keys
+}
--- /dev/null
+++ b/internal/control/outbox.go
@@ -0,0 +1,73 @@
+package control
+
+import (
+	"time"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/record"
+)
+
+// appendRetry is the time after which an append without a visible effect is sent again under the same ID.
+const appendRetry = time.Second
+
+// outgoing is a record that this VM wants in the log. It stays until it is folded or has become pointless.
+type outgoing struct {
+	stream record.Stream
+	record record.Record
+	// purpose keeps two records for the same purpose from being under way at the same time.
+	purpose string
+	sentAt  model.Instant
+	// obsolete reports whether the record would be void now. A late copy of it does no harm then.
+	obsolete func() bool
+}
+
+// outbox holds the records under way. A lost answer is resolved by folding the record or by its becoming void.
+type outbox struct {
+	items map[record.ID]*outgoing
+}
+
+func newOutbox() *outbox { return &outbox{items: map[record.ID]*outgoing{}} }
+
+func (o *outbox) has(purpose string) bool {
+	for _, item := range o.items {
+		if item.purpose == purpose {
+			return true
+		}
+	}
+	return false
+}
+
+// submit appends a record unless one for the same purpose is under way or the log is down.
+func (n *Node) submit(stream record.Stream, purpose string, r record.Record, obsolete func() bool) bool {
+	if !n.logUp || n.outbox.has(purpose) {
+		return false
+	}
+	r.ID = n.settings.NewID()
+	n.outbox.items[r.ID] = &outgoing{
+		stream:   stream,
+		record:   r,
+		purpose:  purpose,
+		sentAt:   n.now,
+		obsolete: obsolete,
+	}
+	n.emit(Append{Stream: stream, Record: r})
+	return true
+}
+
+// settle drops a record that was folded.
+func (o *outbox) settle(id record.ID) { delete(o.items, id) }
+
+// retryAppends drops records that have become void and sends the others again.
+func (n *Node) retryAppends() {
+	for _, id := range sortedIDs(n.outbox.items) {
+		item := n.outbox.items[id]
+		if item.obsolete() {
+			delete(n.outbox.items, id)
+			continue
+		}
+		if n.logUp && n.now.Sub(item.sentAt) >= appendRetry {
+			item.sentAt = n.now
+			n.emit(Append{Stream: item.stream, Record: item.record})
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/peers.go
@@ -0,0 +1,211 @@
+package control
+
+import (
+	"maps"
+	"time"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/cell"
+	"github.com/tarragonpoint/tarragonpoint/internal/message"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/record"
+)
+
+const (
+	// farBeatInterval is the time between two heartbeats to VMs of other cells. It is longer than inside a cell because
+	// they only carry fold offsets and the choice of the planner.
+	farBeatInterval = time.Second
+	// farSilence is the silence after which a VM of another cell counts as unreachable.
+	farSilence = 3500 * time.Millisecond
+	// fetchInterval is the time between two requests to peers for records of a stream.
+	fetchInterval = 200 * time.Millisecond
+	// peerWait is the time for which a starting VM waits for answers of peers while the log is down.
+	peerWait = 3 * time.Second
+)
+
+// peer is what this VM knows of another entry VM from its messages.
+type peer struct {
+	beat    message.Heartbeat
+	heardAt model.Instant
+}
+
+func (n *Node) onPeerMessage(received PeerMessage) {
+	m := received.Message
+	switch {
+	case m.Heartbeat != nil:
+		n.onHeartbeat(received.From, *m.Heartbeat)
+	case m.StatusUpdate != nil:
+		n.onStatusUpdate(received.From, *m.StatusUpdate)
+	case m.StopQuery != nil:
+		n.onStopQuery(received.From, *m.StopQuery)
+	case m.StopStatement != nil:
+		n.onStopStatement(received.From, *m.StopStatement)
+	case m.FetchRecords != nil:
+		n.onFetch(received.From, *m.FetchRecords)
+	case m.Records != nil:
+		n.onRecords(*m.Records)
+	case m.MoveRequest != nil:
+		n.startMoves(m.MoveRequest.Moves)
+	case m.HotKeys != nil:
+		n.hot.report(n.now, m.HotKeys.Keys)
+	}
+}
+
+func (n *Node) onHeartbeat(from model.VMID, beat message.Heartbeat) {
+	n.peers[from] = &peer{beat: beat, heardAt: n.now}
+	if !beat.Leaving {
+		n.detector.Heard(from, n.now)
+	}
+	n.noteOffset(from, record.ConfigStream, beat.ConfigOffset)
+	n.noteOffset(from, record.AssignStream, beat.AssignOffset)
+}
+
+// noteOffset asks a peer that is ahead for the missing records.
+func (n *Node) noteOffset(from model.VMID, name record.Stream, offset model.Offset) {
+	s := n.streams[name]
+	s.end = max(s.end, offset)
+	if offset <= s.fold.Offset() {
+		return
+	}
+	if s.fetchedAt != 0 && n.now.Sub(s.fetchedAt) < fetchInterval {
+		return
+	}
+	s.fetchedAt = n.now
+	request := message.FetchRecords{Stream: name, From: s.fold.Offset() + 1}
+	n.send(from, message.Message{FetchRecords: &request})
+}
+
+func (n *Node) onFetch(from model.VMID, fetch message.FetchRecords) {
+	s, ok := n.streams[fetch.Stream]
+	if !ok {
+		return
+	}
+	answer := message.Records{Stream: fetch.Stream}
+	entries, kept := s.from(fetch.From)
+	answer.Entries = entries
+	if !kept {
+		taken, err := s.fold.Snapshot()
+		if err != nil {
+			return
+		}
+		answer.Snapshot = &taken
+	}
+	n.send(from, message.Message{Records: &answer})
+}
+
+func (n *Node) onRecords(records message.Records) {
+	s, ok := n.streams[records.Stream]
+	if !ok {
+		return
+	}
+	if records.Snapshot != nil {
+		n.loadSnapshot(s, *records.Snapshot)
+	}
+	n.foldEntries(s, records.Entries)
+}
+
+func (n *Node) send(to model.VMID, m message.Message) {
+	if to != n.settings.VM {
+		n.emit(Send{To: to, Message: m})
+	}
+}
+
+func (n *Node) heartbeat() message.Message {
+	return message.Message{Heartbeat: &message.Heartbeat{
+		Incarnation:  n.incarnation,
+		ConfigOffset: n.config.Offset(),
+		AssignOffset: n.assign.Offset(),
+		Leaving:      n.leaving,
+		Zone:         n.settings.Zone,
+		Address:      n.settings.Address,
+	}}
+}
+
+// sendHeartbeats sends frequent heartbeats inside the cells of this VM and rare ones to all other peers.
+func (n *Node) sendHeartbeats() {
+	near := n.cellmates()
+	if n.heartbeatAt == 0 || n.now.Sub(n.heartbeatAt) >= cell.HeartbeatInterval {
+		n.heartbeatAt = n.now
+		for _, vm := range sortedKeys(near) {
+			n.send(vm, n.heartbeat())
+		}
+	}
+	if n.farBeatAt == 0 || n.now.Sub(n.farBeatAt) >= farBeatInterval {
+		n.farBeatAt = n.now
+		for _, vm := range sortedKeys(n.knownPeers) {
+			if !near[vm] {
+				n.send(vm, n.heartbeat())
+			}
+		}
+	}
+}
+
+// cellmates returns the other members of the cells that this VM is a member of.
+func (n *Node) cellmates() map[model.VMID]bool {
+	mates := map[model.VMID]bool{}
+	for _, c := range n.assign.state.Cells {
+		if _, member := c.Members[n.settings.VM]; !member {
+			continue
+		}
+		for vm := range c.Members {
+			if vm != n.settings.VM {
+				mates[vm] = true
+			}
+		}
+	}
+	return mates
+}
+
+// updatePeers tells the transport the addresses of all entry VMs known from settings, the VM list and the log.
+func (n *Node) updatePeers() {
+	if !n.dirty && n.knownPeersCurrent() {
+		return
+	}
+	known := maps.Clone(n.settings.Seeds)
+	if known == nil {
+		known = map[model.VMID]string{}
+	}
+	maps.Copy(known, n.watch.peerAddresses)
+	for _, c := range n.assign.state.Cells {
+		for vm, member := range c.Members {
+			known[vm] = member.Address
+		}
+		for vm, member := range c.Removed {
+			known[vm] = member.Address
+		}
+	}
+	delete(known, n.settings.VM)
+	if !maps.Equal(known, n.knownPeers) {
+		n.knownPeers = known
+		n.emit(SetPeers{Peers: maps.Clone(known)})
+	}
+}
+
+func (n *Node) knownPeersCurrent() bool {
+	return len(n.knownPeers) > 0 && !n.watch.changed
+}
+
+// isReachable reports whether another entry VM was heard lately.
+func (n *Node) isReachable(vm model.VMID) bool {
+	if vm == n.settings.VM {
+		return true
+	}
+	p, known := n.peers[vm]
+	return known && !p.beat.Leaving && n.now.Sub(p.heardAt) < farSilence
+}
+
+// updateReady lets the VM serve once it has folded the log, or, while the log is down, what its peers have folded.
+func (n *Node) updateReady() {
+	if n.ready || n.config.State().Version == 0 {
+		return
+	}
+	assigned, configured := n.streams[record.AssignStream], n.streams[record.ConfigStream]
+	if assigned.fold.Offset() < assigned.end || configured.fold.Offset() < configured.end {
+		return
+	}
+	fromLog := assigned.synced && configured.synced
+	fromPeers := len(n.peers) > 0 && n.now >= model.Instant(peerWait)
+	if fromLog || fromPeers {
+		n.ready = true
+		n.dirty = true
+	}
+}
--- /dev/null
+++ b/internal/control/planner.go
@@ -0,0 +1,231 @@
+package control
+
+import (
+	"sort"
+	"time"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/assign"
+	"github.com/tarragonpoint/tarragonpoint/internal/config"
+	"github.com/tarragonpoint/tarragonpoint/internal/message"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/placement"
+	"github.com/tarragonpoint/tarragonpoint/internal/record"
+)
+
+const (
+	// planInterval is the time between two placement plans.
+	planInterval = 500 * time.Millisecond
+	// requestLife is the time for which a requested move is not asked for again.
+	requestLife = 3 * time.Second
+	// maxPlannedMoves limits the moves of one plan for one service and class, so that a rebalancing does not put many slots
+	// into hand-over at the same time.
+	maxPlannedMoves = 64
+)
+
+// plan assigns slots without an owner and asks lessors to move slots that should be elsewhere.
+func (n *Node) plan() {
+	if n.planAt != 0 && n.now.Sub(n.planAt) < planInterval {
+		return
+	}
+	n.planAt = n.now
+	if !n.ready || !n.isPlanner() || !n.streams[record.AssignStream].synced {
+		return
+	}
+	n.splitDeclared()
+	n.splitHot()
+	var unowned []record.Move
+	requests := map[model.VMID][]record.Move{}
+	state := n.config.State()
+	for _, name := range sortedKeys(state.Services) {
+		for _, class := range classesOf(state) {
+			for _, move := range placement.Plan(n.placementInput(state.Services[name], class, maxPlannedMoves)) {
+				n.planMove(move, &unowned, requests)
+			}
+		}
+	}
+	n.assignUnowned(unowned)
+	for _, vm := range sortedKeys(requests) {
+		if vm == n.settings.VM {
+			n.startMoves(requests[vm])
+			continue
+		}
+		n.send(vm, message.Message{MoveRequest: &message.MoveRequest{Moves: requests[vm]}})
+	}
+}
+
+// planMove sorts a planned move by who can carry it out. Slots of targets that do not serve wait for a takeover.
+func (n *Node) planMove(planned placement.Move, unowned *[]record.Move, requests map[model.VMID][]record.Move) {
+	move := record.Move{
+		Slot:      planned.Slot,
+		BaseEpoch: n.assign.state.Slots[planned.Slot].Epoch,
+		To:        planned.To,
+	}
+	if planned.From == "" {
+		*unowned = append(*unowned, move)
+		return
+	}
+	status := n.currentStatus(planned.From)
+	if status == nil || !status.Serving {
+		return
+	}
+	if asked, pending := n.requestedAt[planned.Slot]; pending && n.now.Sub(asked) < requestLife {
+		return
+	}
+	n.requestedAt[planned.Slot] = n.now
+	requests[status.Lessor] = append(requests[status.Lessor], move)
+}
+
+func (n *Node) assignUnowned(moves []record.Move) {
+	if len(moves) == 0 {
+		return
+	}
+	moves = moves[:min(len(moves), maxMovesPerRecord)]
+	n.reassign(n.settings.Zone, "unowned", record.EvidenceUnowned, moves)
+}
+
+// classesOf returns the placement classes in use, in order.
+func classesOf(state config.State) []model.Class {
+	seen := map[model.Class]bool{model.AnyRegion: true}
+	for _, tenant := range state.Tenants {
+		seen[model.ClassOf(tenant.HomeRegions)] = true
+	}
+	classes := make([]model.Class, 0, len(seen))
+	for class := range seen {
+		classes = append(classes, class)
+	}
+	sort.Slice(classes, func(i, j int) bool { return classes[i] < classes[j] })
+	return classes
+}
+
+// destinations returns moves that take all slots from a target.
+func (n *Node) destinations(from model.TargetID) []record.Move {
+	wanted := map[model.Slot]bool{}
+	classes := map[model.Class]bool{}
+	for _, slot := range n.assign.state.Owned(from) {
+		wanted[slot] = true
+		classes[slot.Class] = true
+	}
+	state := n.config.State()
+	service := state.Services[state.Targets[from].Service]
+	var moves []record.Move
+	for _, class := range sortedKeys(classes) {
+		input := n.placementInput(service, class, 0)
+		for i := range input.Targets {
+			if input.Targets[i].ID == from {
+				input.Targets[i].Alive = false
+			}
+		}
+		for _, planned := range placement.Plan(input) {
+			if wanted[planned.Slot] && planned.To != from {
+				epoch := n.assign.state.Slots[planned.Slot].Epoch
+				moves = append(moves, record.Move{Slot: planned.Slot, BaseEpoch: epoch, To: planned.To})
+			}
+		}
+	}
+	return moves
+}
+
+// placementInput describes the slots and targets of a service and class to the planner of placements.
+func (n *Node) placementInput(service config.Service, class model.Class, maxMoves int) placement.Input {
+	state := n.config.State()
+	input := placement.Input{
+		Class:            class,
+		ImbalancePercent: state.Rules.ImbalancePercent,
+		MaxMoves:         maxMoves,
+	}
+	pins := n.pins(state, service.Name, class)
+	for index := range service.Slots {
+		slot := model.Slot{Service: service.Name, Class: class, Index: index}
+		input.Slots = append(input.Slots, n.placementSlot(slot, pins))
+		for _, hash := range n.assign.state.Splits[slot] {
+			input.Slots = append(input.Slots, n.placementSlot(slot.Split(hash), pins))
+		}
+	}
+	for _, id := range sortedKeys(state.Targets) {
+		configured := state.Targets[id]
+		if configured.Service == service.Name {
+			input.Targets = append(input.Targets, n.placementTarget(state, configured))
+		}
+	}
+	return input
+}
+
+func (n *Node) placementSlot(slot model.Slot, pins map[model.Slot]model.TargetID) placement.Slot {
+	return placement.Slot{
+		ID:    slot,
+		Owner: n.assign.state.Slots[slot].Owner,
+		Pin:   pins[slot],
+		Rate:  n.hot.rate(slot),
+	}
+}
+
+func (n *Node) placementTarget(state config.State, configured config.Target) placement.Target {
+	status := n.currentStatus(configured.ID)
+	return placement.Target{
+		ID:         configured.ID,
+		Zone:       configured.Zone,
+		Region:     state.RegionOf(configured.Zone),
+		InService:  n.isInService(state, configured),
+		Draining:   configured.Drain || (status != nil && status.Draining),
+		Alive:      status != nil && status.Serving,
+		OtherSlots: n.assign.state.OwnedCount(configured.ID),
+	}
+}
+
+// pins returns the declared target of each key of a service and class that has a slot of its own.
+func (n *Node) pins(state config.State, service model.Service, class model.Class) map[model.Slot]model.TargetID {
+	pins := map[model.Slot]model.TargetID{}
+	for id, configured := range state.Targets {
+		if configured.Service != service {
+			continue
+		}
+		for _, key := range configured.Keys {
+			if state.ClassOf(key.Tenant) == class {
+				pins[declaredSlot(state, configured, key)] = id
+			}
+		}
+	}
+	return pins
+}
+
+func declaredSlot(state config.State, configured config.Target, key config.DeclaredKey) model.Slot {
+	service := state.Services[configured.Service]
+	class := state.ClassOf(key.Tenant)
+	hash := model.KeyHash(service.Name, class, key.Key)
+	return model.HashSlot(service.Name, class, hash, service.Slots).Split(hash)
+}
+
+// splitDeclared gives each declared key a slot of its own.
+func (n *Node) splitDeclared() {
+	state := n.config.State()
+	for _, id := range sortedKeys(state.Targets) {
+		for _, key := range state.Targets[id].Keys {
+			n.split(declaredSlot(state, state.Targets[id], key))
+		}
+	}
+}
+
+func (n *Node) split(slot model.Slot) {
+	if _, exists := n.assign.state.Slots[slot]; exists {
+		return
+	}
+	parent, owned := n.assign.state.Slots[slot.Parent()]
+	if !owned {
+		return
+	}
+	obsolete := func() bool {
+		_, exists := n.assign.state.Slots[slot]
+		return exists || n.assign.state.Slots[slot.Parent()].Epoch != parent.Epoch
+	}
+	split := record.Split{Slot: slot, BaseEpoch: parent.Epoch}
+	n.submit(record.AssignStream, "split "+slot.String(), record.Record{Split: &split}, obsolete)
+}
+
+func sortedSlots[V any](m map[model.Slot]V) []model.Slot {
+	slots := make([]model.Slot, 0, len(m))
+	for slot := range m {
+		slots = append(slots, slot)
+	}
+	assign.SortSlots(slots)
+	return slots
+}
--- /dev/null
+++ b/internal/control/records.go
@@ -0,0 +1,185 @@
+package control
+
+import (
+	"time"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/assign"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/record"
+)
+
+// logSilence is the time without an answer from the log after which it counts as down.
+const logSilence = 3 * time.Second
+
+func (n *Node) onLogRead(read LogRead) {
+	n.noteLog(true)
+	s := n.streams[read.Stream]
+	if read.End > 0 {
+		s.end = max(s.end, read.End-1)
+	}
+	n.foldEntries(s, read.Entries)
+	if s.fold.Offset()+1 >= read.End {
+		s.synced = true
+	}
+}
+
+func (n *Node) onLogDown() {
+	if n.now.Sub(n.logSeenAt) >= logSilence {
+		n.noteLog(false)
+	}
+}
+
+func (n *Node) noteLog(up bool) {
+	if up {
+		n.logSeenAt = n.now
+	}
+	if n.logUp == up {
+		return
+	}
+	n.logUp = up
+	if up {
+		n.emit(Notice{Kind: NoticeLogUp})
+	} else {
+		n.emit(Notice{Kind: NoticeLogDown})
+	}
+}
+
+func (n *Node) onAppendDone(done AppendDone) {
+	item, ok := n.outbox.items[done.ID]
+	if !ok {
+		return
+	}
+	if done.OK {
+		n.noteLog(true)
+		return
+	}
+	item.sentAt = n.now
+}
+
+// foldEntries feeds a stream and reacts to the records that took effect.
+func (n *Node) foldEntries(s *stream, entries []record.Entry) {
+	before := s.fold.Offset()
+	for _, entry := range s.take(entries) {
+		n.outbox.settle(entry.Record.ID)
+		if s.name == record.AssignStream {
+			n.onAssign(entry, n.assign.takeVerdict(entry.Offset))
+		}
+	}
+	if s.fold.Offset() != before {
+		n.afterFold(s)
+	}
+}
+
+func (n *Node) loadSnapshot(s *stream, snapshot record.Snapshot) {
+	if s.load(snapshot) {
+		for zone := range n.assign.state.Cells {
+			n.cellChanged[zone] = n.now
+		}
+		n.afterFold(s)
+	}
+}
+
+func (n *Node) afterFold(s *stream) {
+	n.dirty = true
+	if s.name == record.ConfigStream {
+		n.onConfig()
+		return
+	}
+	for _, state := range n.targets {
+		state.grantsAt = 0
+	}
+}
+
+func (n *Node) onAssign(entry record.Entry, verdict assign.Verdict) {
+	if verdict != assign.Applied {
+		return
+	}
+	r := entry.Record
+	switch {
+	case r.MemberJoin != nil:
+		n.onCellChange(r.MemberJoin.Cell)
+		n.detector.Expect(r.MemberJoin.Member.VM, n.now)
+	case r.MemberRemove != nil:
+		n.onCellChange(r.MemberRemove.Cell)
+	case r.VMGone != nil:
+		for zone, c := range n.assign.state.Cells {
+			if c.Epoch == entry.Offset {
+				n.onCellChange(zone)
+			}
+		}
+	case r.TargetUp != nil:
+		n.emit(Notice{Kind: NoticeTargetUp, Target: r.TargetUp.Target})
+	case r.Reassign != nil:
+		n.onReassign(*r.Reassign)
+	}
+}
+
+// onCellChange voids all that rests on the old cell epoch: statements, takeovers and stops.
+func (n *Node) onCellChange(zone model.Zone) {
+	n.cellChanged[zone] = n.now
+	for _, id := range sortedKeys(n.targets) {
+		state := n.targets[id]
+		if n.zoneOf(id) != zone {
+			continue
+		}
+		state.takeover = nil
+		state.stopFor = nil
+		state.exclusive = nil
+		state.keeper.Resume()
+		state.keeper.Hurry(n.now)
+	}
+}
+
+func (n *Node) onReassign(reassign record.Reassign) {
+	for _, move := range reassign.Moves {
+		delete(n.requestedAt, move.Slot)
+		if state, ok := n.targets[move.To]; ok {
+			state.keeper.Hurry(n.now)
+		}
+		for _, state := range n.targets {
+			delete(state.moves, move.Slot)
+		}
+	}
+	if reassign.Evidence == record.EvidenceLapsed || reassign.Evidence == record.EvidenceGone {
+		n.emit(Notice{Kind: NoticeTakeover, Count: len(reassign.Moves)})
+	}
+	for _, state := range n.targets {
+		n.releaseIfEmptied(state)
+	}
+}
+
+// releaseIfEmptied ends a takeover, and a stop stated for it, once the target owns no slots any more.
+func (n *Node) releaseIfEmptied(state *targetState) {
+	if n.assign.state.OwnedCount(state.id) > 0 {
+		return
+	}
+	if state.takeover != nil || state.stopFor != nil {
+		state.takeover = nil
+		state.stopFor = nil
+		state.keeper.Resume()
+	}
+}
+
+// snapshot appends a snapshot of each stream when half of the retention has passed since the last one.
+func (n *Node) snapshot() {
+	if n.settings.Retention <= 0 || !n.isPlanner() {
+		return
+	}
+	for _, name := range []record.Stream{record.AssignStream, record.ConfigStream} {
+		s := n.streams[name]
+		if n.snapshotAt[name] == 0 {
+			n.snapshotAt[name] = n.now
+		}
+		if !s.synced || s.fold.Offset() == 0 || n.now.Sub(n.snapshotAt[name]) < n.settings.Retention/2 {
+			continue
+		}
+		taken, err := s.fold.Snapshot()
+		if err != nil {
+			continue
+		}
+		never := func() bool { return false }
+		if n.submit(name, "snapshot "+string(name), record.Record{Snapshot: &taken}, never) {
+			n.snapshotAt[name] = n.now
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/status.go
@@ -0,0 +1,112 @@
+package control
+
+import (
+	"time"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/lease"
+	"github.com/tarragonpoint/tarragonpoint/internal/message"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/route"
+)
+
+const (
+	// statusInterval is the time between two full rounds of statuses, which make up for lost updates.
+	statusInterval = 2 * time.Second
+	// statusLife is the time after which a status that was not renewed counts as not serving: three rounds.
+	statusLife = 3 * statusInterval
+	// statusDelay gathers changes of several targets into one message.
+	statusDelay = 50 * time.Millisecond
+)
+
+// knownStatus is the last status of a target from its lessor.
+type knownStatus struct {
+	status     route.Status
+	receivedAt model.Instant
+}
+
+// currentStatus returns the status of a target; one that was not renewed for statusLife is not serving.
+func (n *Node) currentStatus(id model.TargetID) *route.Status {
+	known, ok := n.statuses[id]
+	if !ok {
+		return nil
+	}
+	status := known.status
+	if n.now.Sub(known.receivedAt) >= statusLife {
+		status.Serving = false
+	}
+	return &status
+}
+
+// onStatusUpdate takes statuses from their lessor. Older terms and sequences are dropped.
+func (n *Node) onStatusUpdate(from model.VMID, update message.StatusUpdate) {
+	for _, received := range update.Statuses {
+		n.releaseStop(from, received.Target, received.Status.Sequence, received.Status.Serving)
+		known, ok := n.statuses[received.Target]
+		if ok && !supersedes(received.Status, known.status) {
+			continue
+		}
+		if !ok || !sameCondition(known.status, received.Status) {
+			n.dirty = true
+		}
+		n.statuses[received.Target] = &knownStatus{status: received.Status, receivedAt: n.now}
+	}
+}
+
+func supersedes(received, known route.Status) bool {
+	if received.Term != known.Term {
+		return known.Term.Less(received.Term)
+	}
+	return received.Sequence > known.Sequence || received.Lessor != known.Lessor
+}
+
+// sameCondition reports whether two statuses lead to the same routing.
+func sameCondition(a, b route.Status) bool {
+	a.Sequence = b.Sequence
+	a.Term = b.Term
+	return a == b
+}
+
+// sendStatuses sends changed statuses soon and all of them from time to time.
+func (n *Node) sendStatuses() {
+	full := n.statusAt == 0 || n.now.Sub(n.statusAt) >= statusInterval
+	if !full && (len(n.pendingStats) == 0 || n.now.Sub(n.statusAt) < statusDelay) {
+		return
+	}
+	var update message.StatusUpdate
+	for _, id := range sortedKeys(n.targets) {
+		state := n.targets[id]
+		if !state.acting || !(full || n.pendingStats[id]) {
+			continue
+		}
+		status := n.ownStatus(state)
+		n.statuses[id] = &knownStatus{status: status, receivedAt: n.now}
+		update.Statuses = append(update.Statuses, message.TargetStatus{Target: id, Status: status})
+	}
+	n.statusAt = n.now
+	n.pendingStats = map[model.TargetID]bool{}
+	if len(update.Statuses) == 0 {
+		return
+	}
+	for _, vm := range sortedKeys(n.knownPeers) {
+		n.send(vm, message.Message{StatusUpdate: &update})
+	}
+}
+
+// ownStatus returns the status of a target for which this VM acts.
+func (n *Node) ownStatus(state *targetState) route.Status {
+	n.sequence++
+	reply := state.keeper.Reply()
+	service := n.service(state)
+	_, holding := state.keeper.Holding(n.now)
+	return route.Status{
+		Incarnation: reply.Incarnation,
+		Sequence:    n.sequence,
+		Term:        state.term,
+		Serving:     holding && state.keeper.AnsweredWithin(n.now, lease.Duration) && !state.silent,
+		Cold:        state.ramp.cold,
+		Draining:    reply.Draining,
+		Limit:       state.ramp.limit(n.now, service),
+		Load:        reply.Load,
+		Lessor:      n.settings.VM,
+	}
+}
--- /dev/null
+++ b/internal/control/takeover.go
@@ -0,0 +1,269 @@
+package control
+
+import (
+	"time"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/lease"
+	"github.com/tarragonpoint/tarragonpoint/internal/message"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/record"
+)
+
+const (
+	// suspectFailures is the number of failed renewals in a row after which a target counts as silent.
+	suspectFailures = 3
+	// askInterval is the time between two rounds of stop queries.
+	askInterval = 200 * time.Millisecond
+	// maxMovesPerRecord bounds the size of a Reassign record.
+	maxMovesPerRecord = 1024
+)
+
+// takeover collects the statements of all members, and of removed members that may still act, that they do not renew a
+// target's lease. The statements hold for one cell epoch.
+type takeover struct {
+	epoch    model.Offset
+	sequence uint64
+	askedAt  model.Instant
+	// endsBy is, for each VM that stated that it stopped, when its leases have run out.
+	endsBy map[model.VMID]model.Instant
+}
+
+// stopPromise is this VM's own statement to another member.
+type stopPromise struct {
+	epoch    model.Offset
+	asker    model.VMID
+	sequence uint64
+}
+
+func (n *Node) newTakeover(zone model.Zone) *takeover {
+	n.sequence++
+	return &takeover{
+		epoch:    n.assign.state.CellEpoch(zone),
+		sequence: n.sequence,
+		endsBy:   map[model.VMID]model.Instant{},
+	}
+}
+
+// takeOver moves slots away from targets that do not answer, once there is evidence that they cannot act any more.
+func (n *Node) takeOver() {
+	for _, id := range sortedKeys(n.targets) {
+		state := n.targets[id]
+		if n.assign.state.OwnedCount(id) == 0 || !n.logUp {
+			continue
+		}
+		if n.takeOverGone(state) || !state.acting {
+			continue
+		}
+		n.takeOverLapsed(state)
+	}
+}
+
+// takeOverLapsed handles a target of an own cell that has been silent.
+func (n *Node) takeOverLapsed(state *targetState) {
+	if state.keeper.Failures() < suspectFailures || state.stopFor != nil {
+		return
+	}
+	if state.takeover == nil {
+		state.takeover = n.newTakeover(state.config.Zone)
+		state.keeper.Stop()
+	}
+	n.ask(state, state.takeover)
+	if !n.isLapsed(state, state.takeover) {
+		return
+	}
+	n.reassignFrom(state, record.EvidenceLapsed)
+}
+
+// takeOverGone handles a target whose VM the list no longer has. Outside the target's cell that needs a cell without
+// reachable members, else the cell's own lessor does it.
+func (n *Node) takeOverGone(state *targetState) bool {
+	if !n.watch.isGone(state.config.VM) || state.keeper.AnsweredWithin(n.now, lease.Duration) {
+		return false
+	}
+	if status := n.currentStatus(state.id); status != nil && status.Serving {
+		return false
+	}
+	if !state.acting && (!n.isPlanner() || n.hasReachableMember(state.config.Zone)) {
+		return false
+	}
+	return n.reassignFrom(state, record.EvidenceGone)
+}
+
+func (n *Node) hasReachableMember(zone model.Zone) bool {
+	for _, member := range n.assign.state.Members(zone) {
+		if n.isReachable(member.VM) {
+			return true
+		}
+	}
+	return false
+}
+
+// ask sends stop queries to all members of the cell that have not answered.
+func (n *Node) ask(state *targetState, t *takeover) {
+	if t.askedAt != 0 && n.now.Sub(t.askedAt) < askInterval {
+		return
+	}
+	t.askedAt = n.now
+	zone := state.config.Zone
+	query := message.StopQuery{Cell: zone, CellEpoch: t.epoch, Target: state.id, Sequence: t.sequence}
+	for _, vm := range n.mayRenew(zone) {
+		if _, stated := t.endsBy[vm]; !stated {
+			n.send(vm, message.Message{StopQuery: &query})
+		}
+	}
+}
+
+// mayRenew returns the other VMs that may renew leases in a cell.
+func (n *Node) mayRenew(zone model.Zone) []model.VMID {
+	var vms []model.VMID
+	for _, member := range append(n.assign.state.Members(zone), n.assign.state.Removed(zone)...) {
+		if member.VM != n.settings.VM {
+			vms = append(vms, member.VM)
+		}
+	}
+	return vms
+}
+
+// isLapsed reports whether nobody can hold a renewed lease of the target any more: all who may renew stated that they
+// stopped, their leases and those of this VM and its predecessor have run out, and the cell has been unchanged for as long.
+func (n *Node) isLapsed(state *targetState, t *takeover) bool {
+	zone := state.config.Zone
+	if t.epoch != n.assign.state.CellEpoch(zone) {
+		return false
+	}
+	if n.now < n.ownEndsBy(state) || n.now < n.cellChanged[zone].Add(lease.Bound) {
+		return false
+	}
+	for _, vm := range n.mayRenew(zone) {
+		endsBy, stated := t.endsBy[vm]
+		if !stated || n.now < endsBy {
+			return false
+		}
+	}
+	return true
+}
+
+// ownEndsBy returns when leases renewed by this process, or by an earlier process of this VM, have run out. Instants count
+// from the start of this process.
+func (n *Node) ownEndsBy(state *targetState) model.Instant {
+	return max(state.keeper.EndsBy(), model.Instant(lease.Bound))
+}
+
+// reassignFrom appends new owners for the slots of a target. It reports whether a record was submitted.
+func (n *Node) reassignFrom(state *targetState, evidence record.Evidence) bool {
+	if n.outbox.has(takeoverPurpose(state.id)) {
+		return true
+	}
+	moves := n.destinations(state.id)
+	if len(moves) == 0 {
+		return false
+	}
+	if len(moves) > maxMovesPerRecord {
+		moves = moves[:maxMovesPerRecord]
+	}
+	return n.reassign(state.config.Zone, takeoverPurpose(state.id), evidence, moves)
+}
+
+// takeoverPurpose is the outbox purpose of records that take slots from a target.
+func takeoverPurpose(id model.TargetID) string { return "from " + string(id) }
+
+func (n *Node) reassign(zone model.Zone, purpose string, evidence record.Evidence, moves []record.Move) bool {
+	epoch := n.assign.state.CellEpoch(zone)
+	r := record.Reassign{Cell: zone, CellEpoch: epoch, Evidence: evidence, Moves: moves}
+	obsolete := func() bool {
+		if n.assign.state.CellEpoch(zone) != epoch {
+			return true
+		}
+		for _, move := range moves {
+			if n.assign.state.Slots[move.Slot].Epoch != move.BaseEpoch {
+				return true
+			}
+		}
+		return false
+	}
+	return n.submit(record.AssignStream, purpose, record.Record{Reassign: &r}, obsolete)
+}
+
+// cancelTakeover ends a takeover when the target answers, unless a record that rests on it may already be in the log.
+func (n *Node) cancelTakeover(state *targetState) {
+	if state.takeover == nil || n.outbox.has(takeoverPurpose(state.id)) {
+		return
+	}
+	state.takeover = nil
+	state.keeper.Resume()
+	state.keeper.Hurry(n.now)
+	n.pendingStats[state.id] = true
+}
+
+// onStopQuery answers whether this VM renews a target's lease.
+func (n *Node) onStopQuery(from model.VMID, query message.StopQuery) {
+	statement := message.StopStatement{
+		Cell:      query.Cell,
+		CellEpoch: n.assign.state.CellEpoch(query.Cell),
+		Target:    query.Target,
+	}
+	state, known := n.targets[query.Target]
+	if statement.CellEpoch == query.CellEpoch && known && !n.keepsServing(state) {
+		state.stopFor = &stopPromise{epoch: query.CellEpoch, asker: from, sequence: query.Sequence}
+		state.takeover = nil
+		state.exclusive = nil
+		state.keeper.Stop()
+		n.dirty = true
+		statement.Stopped = true
+		statement.Remaining = max(0, n.ownEndsBy(state).Sub(n.now))
+	}
+	n.send(from, message.Message{StopStatement: &statement})
+}
+
+// keepsServing reports whether this VM must not state that it stopped: it holds the lease and the target answers, or a
+// record that rests on its own takeover may be in the log.
+func (n *Node) keepsServing(state *targetState) bool {
+	if n.outbox.has(takeoverPurpose(state.id)) {
+		return true
+	}
+	return state.acting && state.keeper.Failures() < suspectFailures && state.keeper.AnsweredWithin(n.now, lease.Duration)
+}
+
+func (n *Node) onStopStatement(from model.VMID, statement message.StopStatement) {
+	state, known := n.targets[statement.Target]
+	if !known || !statement.Stopped {
+		return
+	}
+	for _, t := range []*takeover{state.takeover, state.exclusive} {
+		if t != nil && t.epoch == statement.CellEpoch {
+			t.endsBy[from] = n.now.Add(statement.Remaining)
+		}
+	}
+}
+
+// isExclusive collects the statements that let this VM act for a target that does not check terms, and reports whether it
+// has them all.
+func (n *Node) isExclusive(state *targetState) bool {
+	if state.stopFor != nil {
+		return false
+	}
+	zone := state.config.Zone
+	if state.exclusive == nil || state.exclusive.epoch != n.assign.state.CellEpoch(zone) {
+		state.exclusive = n.newTakeover(zone)
+	}
+	n.ask(state, state.exclusive)
+	for _, vm := range n.mayRenew(zone) {
+		endsBy, stated := state.exclusive.endsBy[vm]
+		if !stated || n.now < endsBy {
+			return false
+		}
+	}
+	return n.now >= model.Instant(lease.Bound)
+}
+
+// releaseStop ends this VM's statement when the asker reports that the target serves.
+func (n *Node) releaseStop(from model.VMID, id model.TargetID, sequence uint64, serving bool) {
+	state, known := n.targets[id]
+	if !known || state.stopFor == nil || !serving {
+		return
+	}
+	if state.stopFor.asker == from && sequence > state.stopFor.sequence {
+		state.stopFor = nil
+		state.keeper.Resume()
+	}
+}
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -303,3 +303,6 @@
 	}
 	return holding, true
 }
+
+// Refused returns the highest term that the target named when it refused this process.
+func (k *Keeper) Refused() model.Term { return k.refused }
