Add slot placement with bounded imbalance and least churn

Cause: slots need an owner each, with few moves on join, leave and loss. Plan places displaced slots on the least loaded target and moves others only up to the bound, not to the exact share.

--- /dev/null
+++ b/internal/placement/plan.go
@@ -0,0 +1,300 @@
+package placement
+
+import (
+	"math"
+	"sort"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+)
+
+const percent = 100
+
+// node is the planner's state of an eligible target.
+type node struct {
+	*Target
+	inverse  float64 // 1 / weight
+	zone     *zoneLoad
+	count    int     // slots that count against the share
+	relative float64 // count / weight
+	rate     float64 // sum of the rates of hot slots, in requests/s
+	low      int
+	high     int
+	slots    []int // indexes of movable slots, in slot order
+}
+
+// zoneLoad is the load of a zone.
+type zoneLoad struct {
+	count  int
+	weight float64
+}
+
+func (z *zoneLoad) relative() float64 { return float64(z.count) / z.weight }
+
+// planner holds the state of one call of Plan.
+type planner struct {
+	input Input
+	all   map[model.TargetID]*Target
+	nodes []*node
+	byID  map[model.TargetID]*node
+	moves []Move
+	// position holds, for each slot, 1 + the index of its move, or 0.
+	position []int
+}
+
+// Plan returns the moves that lead from the present owners to a placement within the bound, most urgent first. It
+// returns none if no target is eligible. A plan that reaches MaxMoves is continued by the next call.
+func Plan(input Input) []Move {
+	p := newPlanner(input)
+	if len(p.nodes) == 0 {
+		return nil
+	}
+	displaced := p.load()
+	p.setBounds()
+	p.place(displaced)
+	p.spreadHot()
+	p.restoreBounds()
+	return p.moves
+}
+
+func newPlanner(input Input) *planner {
+	p := &planner{
+		input:    input,
+		all:      make(map[model.TargetID]*Target, len(input.Targets)),
+		byID:     make(map[model.TargetID]*node, len(input.Targets)),
+		position: make([]int, len(input.Slots)),
+	}
+	zones := map[model.Zone]*zoneLoad{}
+	for i := range input.Targets {
+		target := &input.Targets[i]
+		p.all[target.ID] = target
+		if !eligible(target, input.Class) {
+			continue
+		}
+		p.addNode(target, zones)
+	}
+	sort.Slice(p.nodes, func(i, j int) bool { return p.nodes[i].ID < p.nodes[j].ID })
+	return p
+}
+
+func eligible(target *Target, class model.Class) bool {
+	return target.Alive && target.InService && !target.Draining && class.Allows(target.Region)
+}
+
+func (p *planner) addNode(target *Target, zones map[model.Zone]*zoneLoad) {
+	weight := target.Weight
+	if weight <= 0 {
+		weight = 1
+	}
+	zone := zones[target.Zone]
+	if zone == nil {
+		zone = &zoneLoad{}
+		zones[target.Zone] = zone
+	}
+	zone.weight += weight
+	n := &node{Target: target, inverse: 1 / weight, zone: zone}
+	p.nodes = append(p.nodes, n)
+	p.byID[target.ID] = n
+}
+
+// pending is a slot that needs another owner.
+type pending struct {
+	index  int
+	reason Reason
+	// to is set for pinned slots.
+	to *node
+}
+
+// load counts the slots that stay and returns those that must move, most urgent and hottest first.
+func (p *planner) load() []pending {
+	var displaced []pending
+	for i := range p.input.Slots {
+		slot := &p.input.Slots[i]
+		pin := p.byID[slot.Pin]
+		owner := p.byID[slot.Owner]
+		switch {
+		case pin != nil && owner != pin:
+			displaced = append(displaced, pending{i, p.pinReason(slot), pin})
+		case owner == nil:
+			displaced = append(displaced, pending{i, p.reason(slot), nil})
+		case pin == nil:
+			p.add(owner, i)
+		default:
+			owner.rate += slot.Rate
+		}
+	}
+	sort.SliceStable(displaced, func(i, j int) bool {
+		a, b := displaced[i], displaced[j]
+		if a.reason != b.reason {
+			return a.reason < b.reason
+		}
+		return p.input.Slots[a.index].Rate > p.input.Slots[b.index].Rate
+	})
+	return displaced
+}
+
+func (p *planner) reason(slot *Slot) Reason {
+	owner := p.all[slot.Owner]
+	switch {
+	case owner == nil || !owner.Alive:
+		return Unowned
+	case !owner.InService || !p.input.Class.Allows(owner.Region):
+		return OutOfService
+	default:
+		return Drain
+	}
+}
+
+func (p *planner) pinReason(slot *Slot) Reason {
+	if p.byID[slot.Owner] != nil {
+		return Pinned
+	}
+	return p.reason(slot)
+}
+
+// setBounds gives each node its share of the slots, with the permitted deviation. The shares cover all slots that are
+// not held at a declared target.
+func (p *planner) setBounds() {
+	total := 0
+	for i := range p.input.Slots {
+		if p.byID[p.input.Slots[i].Pin] == nil {
+			total++
+		}
+	}
+	weight := 0.0
+	for _, n := range p.nodes {
+		weight += 1 / n.inverse
+	}
+	tolerance := p.input.ImbalancePercent / percent
+	for _, n := range p.nodes {
+		share := float64(total) / (weight * n.inverse)
+		n.low = int(share * (1 - tolerance))
+		n.high = max(int(math.Ceil(share)), int(share*(1+tolerance)))
+	}
+}
+
+// place gives displaced slots to their declared target or the least loaded one.
+func (p *planner) place(displaced []pending) {
+	for _, d := range displaced {
+		if p.full() {
+			return
+		}
+		slot := &p.input.Slots[d.index]
+		to := d.to
+		if to == nil {
+			to = p.receiver(slot)
+			p.add(to, d.index)
+		} else {
+			to.rate += slot.Rate
+		}
+		p.move(d.index, slot.Owner, to, d.reason)
+	}
+}
+
+func (p *planner) receiver(slot *Slot) *node {
+	if slot.Rate > 0 {
+		if n := p.coolest(); n != nil {
+			return n
+		}
+	}
+	return p.least()
+}
+
+// least returns the node with the lowest load; the load of its zone and of other classes breaks ties.
+func (p *planner) least() *node {
+	best := p.nodes[0]
+	for _, n := range p.nodes[1:] {
+		if n.relative < best.relative || n.relative == best.relative && winsTie(n, best) {
+			best = n
+		}
+	}
+	return best
+}
+
+func winsTie(a, b *node) bool {
+	if a.zone != b.zone {
+		if x, y := a.zone.relative(), b.zone.relative(); x != y {
+			return x < y
+		}
+	}
+	return a.OtherSlots < b.OtherSlots
+}
+
+// restoreBounds moves slots until each node is within its bounds. It stops at the bound, not at the exact share, so
+// that a join or a return moves no more than necessary.
+func (p *planner) restoreBounds() {
+	for !p.full() {
+		from, to := p.most(), p.least()
+		if from == nil || from == to || from.count <= from.high && to.count >= to.low {
+			return
+		}
+		if from.relative-from.inverse < to.relative {
+			return
+		}
+		index := p.coldest(from)
+		p.remove(from, index)
+		p.add(to, index)
+		p.move(index, from.ID, to, Balance)
+	}
+}
+
+// most returns the node with the highest load that has a movable slot.
+func (p *planner) most() *node {
+	var best *node
+	for _, n := range p.nodes {
+		if len(n.slots) == 0 {
+			continue
+		}
+		if best == nil || n.relative > best.relative || n.relative == best.relative && winsTie(best, n) {
+			best = n
+		}
+	}
+	return best
+}
+
+// coldest returns the last slot with the lowest rate, so that restoring the bound does not move hot slots needlessly.
+func (p *planner) coldest(n *node) int {
+	best := n.slots[len(n.slots)-1]
+	for i := len(n.slots) - 1; i >= 0 && p.input.Slots[best].Rate > 0; i-- {
+		if p.input.Slots[n.slots[i]].Rate < p.input.Slots[best].Rate {
+			best = n.slots[i]
+		}
+	}
+	return best
+}
+
+func (p *planner) full() bool {
+	return p.input.MaxMoves > 0 && len(p.moves) >= p.input.MaxMoves
+}
+
+// move records a move. A slot that this plan has moved already goes to the new target directly.
+func (p *planner) move(index int, from model.TargetID, to *node, reason Reason) {
+	if at := p.position[index]; at > 0 {
+		p.moves[at-1].To = to.ID
+		return
+	}
+	p.position[index] = len(p.moves) + 1
+	p.moves = append(p.moves, Move{Slot: p.input.Slots[index].ID, From: from, To: to.ID, Reason: reason})
+}
+
+func (p *planner) add(n *node, index int) {
+	n.slots = append(n.slots, index)
+	n.rate += p.input.Slots[index].Rate
+	p.count(n, 1)
+}
+
+func (p *planner) remove(n *node, index int) {
+	for i := len(n.slots) - 1; i >= 0; i-- {
+		if n.slots[i] == index {
+			n.slots = append(n.slots[:i], n.slots[i+1:]...)
+			n.rate -= p.input.Slots[index].Rate
+			p.count(n, -1)
+			return
+		}
+	}
+}
+
+func (p *planner) count(n *node, delta int) {
+	n.count += delta
+	n.zone.count += delta
+	n.relative = float64(n.count) * n.inverse
+}
