Add target choice with two choices, outlier detection and cold ramp

Cause: unkeyed services need a target for each request; reports of load lag. The policy compares own in-flight plus reports that lose weight with age.

--- /dev/null
+++ b/internal/balance/tracker.go
@@ -0,0 +1,154 @@
+package balance
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+)
+
+const (
+	// reportHalfLife is the age at which a load report counts half. Lessors renew every 600 ms.
+	reportHalfLife = 600 * time.Millisecond
+	// latencyGain is the weight of a new latency in the moving average; about 20 requests replace an old value.
+	latencyGain = 0.1
+)
+
+// Observation is the end of an attempt.
+type Observation struct {
+	Target  model.TargetID
+	Latency time.Duration
+	// Failed is true if the target broke or timed out. Refusals and silent connections are not failures of the target.
+	Failed bool
+	// Ignore is true if the attempt says nothing about the target: it was refused, canceled, or its connection was
+	// silent while the target answered others.
+	Ignore bool
+}
+
+// Tracker holds what one entry VM knows of the targets of one service.
+type Tracker struct {
+	mu       sync.Mutex
+	targets  map[model.TargetID]*tracked
+	outliers outliers
+	// sumOthers and reports are the sum and number of the load reports held in targets.
+	sumOthers float64
+	reports   int
+}
+
+// tracked is the state of one target.
+type tracked struct {
+	inFlight int
+	// others is the reported load less this VM's requests at the time of the report.
+	others     float64
+	reportedAt model.Instant
+	reported   bool
+	health     health
+}
+
+// NewTracker returns an empty tracker. maxEjectedPercent bounds the share of targets that are ejected at once.
+func NewTracker(maxEjectedPercent float64) *Tracker {
+	return &Tracker{targets: map[model.TargetID]*tracked{}, outliers: outliers{maxPercent: maxEjectedPercent}}
+}
+
+func (t *Tracker) target(id model.TargetID) *tracked {
+	state := t.targets[id]
+	if state == nil {
+		state = &tracked{health: health{target: id}}
+		t.targets[id] = state
+	}
+	return state
+}
+
+// Retain drops the state of targets that are not listed. Running requests of dropped targets are no longer counted.
+func (t *Tracker) Retain(ids []model.TargetID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	kept := make(map[model.TargetID]*tracked, len(ids))
+	for _, id := range ids {
+		if state := t.targets[id]; state != nil {
+			kept[id] = state
+		}
+	}
+	t.targets = kept
+	t.sumOthers, t.reports = 0, 0
+	for _, id := range ids {
+		if state := kept[id]; state != nil && state.reported {
+			t.sumOthers += state.others
+			t.reports++
+		}
+	}
+}
+
+// Start records that a request is sent to the target.
+func (t *Tracker) Start(id model.TargetID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.target(id).inFlight++
+}
+
+// Finish records the end of an attempt that Start recorded.
+func (t *Tracker) Finish(now model.Instant, seen Observation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	state := t.target(seen.Target)
+	state.inFlight = max(0, state.inFlight-1)
+	if seen.Ignore {
+		return
+	}
+	state.health.observe(seen)
+	t.outliers.evaluate(now, t.targets)
+}
+
+// Report records a load report of a target: its running and queued requests from all entry VMs.
+func (t *Tracker) Report(now model.Instant, id model.TargetID, load int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	state := t.target(id)
+	if !state.reported {
+		t.reports++
+	}
+	others := math.Max(0, float64(load-state.inFlight))
+	t.sumOthers += others - state.others
+	state.others, state.reportedAt, state.reported = others, now, true
+}
+
+// InFlight returns the number of this VM's running requests at the target.
+func (t *Tracker) InFlight(id model.TargetID) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.target(id).inFlight
+}
+
+// estimate is the believed load of a target and the share of requests it may get.
+type estimate struct {
+	load  float64
+	share float64
+	// inFlight is this VM's own part of the load.
+	inFlight int
+	// slowness is the target's mean latency relative to the service's median; 1 if unknown.
+	slowness float64
+}
+
+// estimates returns the estimates of the targets. A report that ages loses weight in favor of the mean of all reports,
+// because a target without recent news is most likely an average one.
+func (t *Tracker) estimates(now model.Instant, ids []model.TargetID) []estimate {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	mean := t.sumOthers / float64(max(1, t.reports))
+	result := make([]estimate, len(ids))
+	for i, id := range ids {
+		state := t.target(id)
+		weight := 0.0
+		if state.reported {
+			weight = math.Exp2(-float64(now.Sub(state.reportedAt)) / float64(reportHalfLife))
+		}
+		result[i] = estimate{
+			load:     float64(state.inFlight) + weight*state.others + (1-weight)*mean,
+			inFlight: state.inFlight,
+			share:    state.health.share(now),
+			slowness: t.outliers.slowness(&state.health),
+		}
+	}
+	return result
+}
