Add the configuration format, validation, patches and fold

Cause: entry VMs and the command line need one deterministic reading of the config stream and one file format.

The VM, zone and service of an existing target and the region of an existing zone may not change, because evidence and lessors rest on them; a tenant is removed only while suspended. Ruled out: decoding with the YAML library's own duplicate check, which reports no field.

--- /dev/null
+++ b/internal/config/patch_test.go
@@ -0,0 +1,211 @@
+package config
+
+import (
+	"testing"
+
+	"github.com/joomcode/errorx"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/record"
+)
+
+func typeOf(err error) *errorx.Type {
+	cast := errorx.Cast(err)
+	if cast == nil {
+		return nil
+	}
+	return cast.Type()
+}
+
+func published(t *testing.T) State {
+	t.Helper()
+	loaded, err := load(t, testInventory, "")
+	require.NoError(t, err)
+	patch, err := Diff(Empty(), loaded.State, "ana")
+	require.NoError(t, err)
+	state, err := Apply(Empty(), 1, patch)
+	require.NoError(t, err)
+	return state
+}
+
+// TestTransitions guards against changes that would give a key two owners or lose one.
+func TestTransitions(t *testing.T) {
+	cases := map[string]func(*State){
+		"slots":                  func(s *State) { edit(s.Services, "desk", func(e *Service) { e.Slots = 32 }) },
+		"keyed":                  func(s *State) { edit(s.Services, "desk", func(e *Service) { e.Keyed = false }) },
+		"home regions":           func(s *State) { edit(s.Tenants, "acme", func(e *Tenant) { e.HomeRegions = nil }) },
+		"tenant not suspended":   func(s *State) { delete(s.Tenants, "acme") },
+		"target's VM":            func(s *State) { edit(s.Targets, "desk-1", func(e *Target) { e.VM = "vm-2" }) },
+		"target of declared key": func(s *State) { delete(s.Targets, "desk-1") },
+		"service with targets":   func(s *State) { delete(s.Services, "desk") },
+		"region with zones":      func(s *State) { delete(s.Regions, "north") },
+		"home regions and suspension at once": func(s *State) {
+			edit(s.Tenants, "acme", func(e *Tenant) { e.HomeRegions, e.Suspended = []model.Region{"north", "south"}, true })
+		},
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			before := published(t)
+			after := before.clone()
+			change(&after)
+			patch, err := Diff(before, after, "ben")
+			require.NoError(t, err)
+			kept, err := Apply(before, 2, patch)
+			require.True(t, ErrInvalid == typeOf(err), "%v", err)
+			assert.Equal(t, before, kept)
+		})
+	}
+}
+
+// TestSuspendedTenantMayMove guards against home regions that could never be changed.
+func TestSuspendedTenantMayMove(t *testing.T) {
+	state := published(t)
+	for offset, change := range []func(*Tenant){
+		func(e *Tenant) { e.Suspended = true },
+		func(e *Tenant) { e.HomeRegions = []model.Region{"north", "south"} },
+		func(e *Tenant) { e.Suspended = false },
+	} {
+		next := state.clone()
+		edit(next.Tenants, "acme", change)
+		patch, err := Diff(state, next, "ben")
+		require.NoError(t, err)
+		state, err = Apply(state, model.Offset(offset+2), patch)
+		require.NoError(t, err)
+	}
+	assert.Equal(t, model.Class("north+south"), state.ClassOf("acme"))
+}
+
+func edit[N comparable, E any](entities map[N]E, name N, change func(*E)) {
+	entity := entities[name]
+	change(&entity)
+	entities[name] = entity
+}
+
+// TestConflictCarriesBothVersions guards against a conflict that the operator cannot resolve.
+func TestConflictCarriesBothVersions(t *testing.T) {
+	state := published(t)
+	_, err := Apply(state, 9, record.ConfigPatch{Author: "ben", Base: 0})
+	conflict, found := ConflictOf(errorx.Decorate(err, "publish"))
+	require.True(t, found)
+	assert.Equal(t, Conflict{Base: 0, InForce: 1, Author: "ana"}, conflict)
+}
+
+// TestRacingPatches guards against folds that diverge, versions that go back, and refused patches that leave a trace. The
+// oracle tracks only the zones out of service and shares no code with the fold.
+func TestRacingPatches(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		race := newRace(t)
+		r.Repeat(map[string]func(*rapid.T){
+			"publish": race.publish,
+			"deliver": race.deliver,
+			"restart": race.restart,
+		})
+		for i := range race.folds {
+			race.catchUp(r, i)
+			require.Equal(r, race.folds[0].State(), race.folds[i].State())
+		}
+		require.Equal(r, race.version, race.folds[0].State().Version)
+		for zone, out := range race.out {
+			require.Equal(r, out, race.folds[0].State().Zones[zone].OutOfService)
+		}
+	})
+}
+
+const raceFolds = 3
+
+type race struct {
+	stream    []record.Entry
+	folds     []*Fold
+	snapshots []record.Snapshot
+	version   model.Offset
+	out       map[model.Zone]bool
+}
+
+func newRace(t *testing.T) *race {
+	patch, err := Diff(Empty(), published(t), "ana")
+	require.NoError(t, err)
+	first := record.Entry{Offset: 1, Record: record.Record{ID: record.NewID(), ConfigPatch: &patch}}
+	made := &race{stream: []record.Entry{first}, version: 1, out: map[model.Zone]bool{"north-a": false, "south-a": false}}
+	for range raceFolds {
+		made.folds = append(made.folds, NewFold())
+	}
+	return made
+}
+
+// publish appends a patch made from the state of any fold, which may be behind. Some patches also break a rule.
+func (c *race) publish(r *rapid.T) {
+	from := c.folds[rapid.IntRange(0, raceFolds-1).Draw(r, "fold")].State()
+	if from.Version == 0 {
+		r.Skip("the fold is empty")
+	}
+	zone := rapid.SampledFrom([]model.Zone{"north-a", "south-a"}).Draw(r, "zone")
+	isBroken := rapid.Bool().Draw(r, "broken")
+	to := from.clone()
+	edit(to.Zones, zone, func(e *Zone) { e.OutOfService = !e.OutOfService })
+	if isBroken {
+		edit(to.Services, "desk", func(e *Service) { e.Slots++ })
+	}
+	patch, err := Diff(from, to, "ben")
+	require.NoError(r, err)
+	offset := model.Offset(len(c.stream) + 1)
+	c.stream = append(c.stream, record.Entry{Offset: offset, Record: record.Record{ID: record.NewID(), ConfigPatch: &patch}})
+	if from.Version == c.version && !isBroken {
+		c.version = offset
+		c.out[zone] = !c.out[zone]
+	}
+}
+
+func (c *race) deliver(r *rapid.T) {
+	fold := c.folds[rapid.IntRange(0, raceFolds-1).Draw(r, "fold")]
+	entry := c.stream[rapid.IntRange(0, len(c.stream)-1).Draw(r, "entry")]
+	before := fold.State()
+	outcome, err := fold.Consume(entry)
+	if entry.Offset > fold.Next() {
+		require.True(r, ErrGap == typeOf(err))
+	}
+	require.GreaterOrEqual(r, fold.State().Version, before.Version)
+	if !outcome.Applied {
+		require.Equal(r, before, fold.State())
+	}
+}
+
+// restart replaces a fold by one that starts from an older snapshot of any fold.
+func (c *race) restart(r *rapid.T) {
+	index := rapid.IntRange(0, raceFolds-1).Draw(r, "fold")
+	snapshot, err := c.folds[index].EncodeSnapshot()
+	require.NoError(r, err)
+	c.snapshots = append(c.snapshots, snapshot)
+	c.folds[index] = NewFold()
+	chosen := rapid.SampledFrom(c.snapshots).Draw(r, "snapshot")
+	require.NoError(r, c.folds[index].LoadSnapshot(chosen))
+	require.Equal(r, chosen.Covers, c.folds[index].Offset())
+}
+
+func (c *race) catchUp(r *rapid.T, index int) {
+	for _, entry := range c.stream {
+		_, err := c.folds[index].Consume(entry)
+		require.NoError(r, err)
+	}
+}
+
+// TestSnapshotBehindGap guards against a fold that applies a patch to a state that lacks expired records.
+func TestSnapshotBehindGap(t *testing.T) {
+	race := newRace(t)
+	_, err := race.folds[0].Consume(race.stream[0])
+	require.NoError(t, err)
+	snapshot, err := race.folds[0].EncodeSnapshot()
+	require.NoError(t, err)
+	late := NewFold()
+	patch := record.ConfigPatch{Author: "ben", Base: 0}
+	_, err = late.Consume(record.Entry{Offset: 2, Record: record.Record{ConfigPatch: &patch}})
+	require.True(t, ErrGap == typeOf(err))
+	_, err = late.Consume(record.Entry{Offset: 3, Record: record.Record{Snapshot: &snapshot}})
+	require.NoError(t, err)
+	assert.Equal(t, model.Offset(2), late.Next())
+	assert.Equal(t, race.folds[0].State(), late.State())
+	require.Error(t, late.LoadSnapshot(record.Snapshot{Covers: 8, State: []byte{0xff}}))
+	assert.Equal(t, model.Offset(2), late.Next())
+}
--- /dev/null
+++ b/internal/config/preview.go
@@ -0,0 +1,106 @@
+package config
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/record"
+)
+
+// ChangeKind says what a change does to an entity.
+type ChangeKind string
+
+// Kinds of changes.
+const (
+	Added   ChangeKind = "added"
+	Changed ChangeKind = "changed"
+	Removed ChangeKind = "removed"
+)
+
+// FieldChange is a field with its values before and after a change, as text.
+type FieldChange struct {
+	Field  string
+	Before string
+	After  string
+}
+
+// Change is what a patch does to one entity. Fields is set only for changed entities.
+type Change struct {
+	Kind   ChangeKind
+	Entity record.EntityKey
+	Fields []FieldChange
+}
+
+// String formats the change with one line for the entity and one for each field.
+func (c Change) String() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "%s %s %q", c.Kind, c.Entity.Kind, c.Entity.Name)
+	for _, field := range c.Fields {
+		fmt.Fprintf(&text, "\n  %s: %s -> %s", field.Field, field.Before, field.After)
+	}
+	return text.String()
+}
+
+// Preview returns what publishing to over from would change, in order of kind and name.
+func Preview(from, to State) []Change {
+	before, after := from.entities(), to.entities()
+	var changes []Change
+	for _, key := range sortedKeys(after) {
+		old, found := before[key]
+		if !found {
+			changes = append(changes, Change{Kind: Added, Entity: key})
+			continue
+		}
+		if fields := changedFields(old, after[key]); len(fields) > 0 {
+			changes = append(changes, Change{Kind: Changed, Entity: key, Fields: fields})
+		}
+	}
+	for _, key := range sortedKeys(before) {
+		if _, kept := after[key]; !kept {
+			changes = append(changes, Change{Kind: Removed, Entity: key})
+		}
+	}
+	return changes
+}
+
+// changedFields compares two entities of the same type field by field.
+func changedFields(before, after any) []FieldChange {
+	old, current := reflect.ValueOf(before), reflect.ValueOf(after)
+	var changes []FieldChange
+	for i := range old.NumField() {
+		oldText, currentText := fieldText(old.Field(i)), fieldText(current.Field(i))
+		if oldText != currentText {
+			changes = append(changes, FieldChange{Field: fieldName(old.Type().Field(i)), Before: oldText, After: currentText})
+		}
+	}
+	return changes
+}
+
+func fieldName(field reflect.StructField) string {
+	name, _, _ := strings.Cut(field.Tag.Get("yaml"), ",")
+	return name
+}
+
+func fieldText(value reflect.Value) string {
+	switch value.Kind() {
+	case reflect.Slice:
+		items := make([]string, 0, value.Len())
+		for i := range value.Len() {
+			items = append(items, fieldText(value.Index(i)))
+		}
+		return "[" + strings.Join(items, ", ") + "]"
+	case reflect.Struct:
+		var fields []string
+		for i := range value.NumField() {
+			if !value.Field(i).IsZero() {
+				fields = append(fields, fieldName(value.Type().Field(i))+": "+fieldText(value.Field(i)))
+			}
+		}
+		return "{" + strings.Join(fields, ", ") + "}"
+	case reflect.String:
+		return fmt.Sprintf("%q", value.String())
+	default:
+		return fmt.Sprint(value.Interface())
+	}
+}
