Build the control loop with a virtual-time world and a first check

Cause: the control loop needs a bench before it grows. Ruled out: testing through real processes only (slow, not repeatable). Run: go test ./internal/proof: slots are assigned after a start and served again within 3 s (virtual) after the loss of one target. Conclusion: the basis for the stateful fuzz.

--- /dev/null
+++ b/internal/control/folds_config.go
@@ -0,0 +1,27 @@
+package control
+
+import (
+	"github.com/tarragonpoint/tarragonpoint/internal/config"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/record"
+)
+
+// configFold adapts the configuration fold to a stream.
+type configFold struct{ fold *config.Fold }
+
+func newConfigFold() *configFold { return &configFold{fold: config.NewFold()} }
+
+// State returns the configuration in force.
+func (f *configFold) State() config.State { return f.fold.State() }
+
+func (f *configFold) Offset() model.Offset { return f.fold.Offset() }
+
+// Apply folds the next record. A refused patch is folded too: it changes nothing.
+func (f *configFold) Apply(entry record.Entry) error {
+	_, err := f.fold.Consume(entry)
+	return err
+}
+
+func (f *configFold) Snapshot() (record.Snapshot, error) { return f.fold.EncodeSnapshot() }
+
+func (f *configFold) Load(snapshot record.Snapshot) error { return f.fold.LoadSnapshot(snapshot) }
--- a/internal/control/moves.go
+++ b/internal/control/moves.go
@@ -15,6 +15,8 @@
 	// revokedBy is the incarnation that acknowledged.
 	revokedBy model.Incarnation
 	handedOff bool
+	// sentIn is the sequence number of the last revocation that named the slot.
+	sentIn uint64
 }
 
 // startMoves takes requests to move slots. Those that are not possible now are dropped; the planner asks again.
@@ -113,6 +115,9 @@
 	n.sequence++
 	state.revokeSequence = n.sequence
 	state.revokeInflight = true
+	for _, slot := range slots {
+		state.moves[slot].sentIn = n.sequence
+	}
 	n.emit(Revoke{
 		Target:   state.id,
 		Address:  state.config.Address,
@@ -143,7 +148,7 @@
 		return
 	}
 	for _, moving := range state.moves {
-		if !moving.revoked && moving.sentIn(done.Sequence, state) {
+		if !moving.revoked && moving.sentIn == done.Sequence {
 			moving.revoked = true
 			moving.revokedBy = incarnation
 		}
--- /dev/null
+++ b/internal/proof/network_test.go
@@ -0,0 +1,93 @@
+package proof
+
+import (
+	"container/heap"
+	"math/rand"
+	"time"
+)
+
+// event is something that happens at a virtual time.
+type event struct {
+	at    time.Duration
+	order int
+	run   func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+// scheduler runs events in virtual time.
+type scheduler struct {
+	now    time.Duration
+	queue  eventQueue
+	order  int
+	random *rand.Rand
+}
+
+func (s *scheduler) after(delay time.Duration, run func()) {
+	s.order++
+	heap.Push(&s.queue, event{at: s.now + delay, order: s.order, run: run})
+}
+
+// runFor runs all events of a span of virtual time and calls check after each.
+func (s *scheduler) runFor(span time.Duration, check func()) {
+	end := s.now + span
+	for len(s.queue) > 0 && s.queue[0].at <= end {
+		next := heap.Pop(&s.queue).(event)
+		s.now = next.at
+		next.run()
+		check()
+	}
+	s.now = end
+}
+
+// network delays, drops and duplicates what is sent between named endpoints.
+type network struct {
+	*scheduler
+	// cut holds one-way cuts.
+	cut       map[[2]string]bool
+	dropOneIn int
+	slow      map[string]time.Duration
+}
+
+const (
+	minLatency = time.Millisecond
+	maxLatency = 13 * time.Millisecond
+	// lateOneIn is how often a message is late by up to maxLate, which reorders it.
+	lateOneIn = 50
+	maxLate   = 800 * time.Millisecond
+)
+
+func (n *network) latency() time.Duration {
+	latency := minLatency + time.Duration(n.random.Int63n(int64(maxLatency-minLatency)))
+	if n.random.Intn(lateOneIn) == 0 {
+		latency += time.Duration(n.random.Int63n(int64(maxLate)))
+	}
+	return latency
+}
+
+// send delivers a message unless the way is cut when it leaves or when it arrives, or it is dropped.
+func (n *network) send(from, to string, deliver func()) {
+	way := [2]string{from, to}
+	if n.cut[way] || n.dropOneIn > 0 && n.random.Intn(n.dropOneIn) == 0 {
+		return
+	}
+	arrive := func() {
+		if !n.cut[way] {
+			deliver()
+		}
+	}
+	n.after(n.latency()+n.slow[to], arrive)
+}
--- /dev/null
+++ b/internal/proof/smoke_test.go
@@ -0,0 +1,30 @@
+package proof
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/target"
+)
+
+func targetAddress(text string) target.Address { return target.Address(text) }
+
+// TestOwnersAppearAndMove guards against a control loop that never assigns slots, or never moves them after a loss.
+func TestOwnersAppearAndMove(t *testing.T) {
+	w := newWorld(1, 2, 2, 3, t.Fatalf)
+	w.runFor(6*time.Second, w.checkOwners)
+	require.Equal(t, slotsPerCell, w.served(), "all slots are served after the start")
+	lost := w.owners()
+	for _, owner := range lost {
+		w.targets[owner].alive = false
+		break
+	}
+	start := w.now
+	for w.served() < slotsPerCell && w.now-start < 10*time.Second {
+		w.runFor(50*time.Millisecond, w.checkOwners)
+	}
+	t.Logf("served again after %v", w.now-start)
+	require.LessOrEqual(t, w.now-start, 3*time.Second)
+}
--- /dev/null
+++ b/internal/proof/world_test.go
@@ -0,0 +1,464 @@
+package proof
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand"
+	"sort"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/config"
+	"github.com/tarragonpoint/tarragonpoint/internal/control"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/platform"
+	"github.com/tarragonpoint/tarragonpoint/internal/record"
+	"github.com/tarragonpoint/tarragonpoint/internal/route"
+)
+
+const (
+	tickEvery    = 25 * time.Millisecond
+	logPollEvery = 100 * time.Millisecond
+	vmPollEvery  = 500 * time.Millisecond
+	callTimeout  = 400 * time.Millisecond
+	slotsPerCell = 8
+	testService  = model.Service("draft-review")
+)
+
+// entryVM is one entry VM with its control node.
+type entryVM struct {
+	name    string
+	zone    model.Zone
+	node    *control.Node
+	started time.Duration
+	rate    float64
+	alive   bool
+	paused  bool
+	backlog []control.Event
+	table   *route.Table
+	left    bool
+	run     int
+}
+
+// fakeLog is the log service.
+type fakeLog struct {
+	streams map[record.Stream][]record.Entry
+	oldest  map[record.Stream]model.Offset
+	up      bool
+	// loseAnswers is the number of append answers still to be lost.
+	loseAnswers int
+}
+
+type world struct {
+	network
+	log      fakeLog
+	vms      map[string]*entryVM
+	targets  map[model.TargetID]*fakeTarget
+	vmList   platform.VMListReply
+	listLag  time.Duration
+	regions  map[model.Zone]model.Region
+	fatal    func(format string, args ...any)
+	settings struct{ retention time.Duration }
+	minted   uint64
+}
+
+func newWorld(seed int64, zones, vmsPerZone, targetsPerZone int, fatal func(string, ...any)) *world {
+	s := &scheduler{random: rand.New(rand.NewSource(seed))}
+	w := &world{
+		network: network{scheduler: s, cut: map[[2]string]bool{}, slow: map[string]time.Duration{}},
+		vms:     map[string]*entryVM{},
+		targets: map[model.TargetID]*fakeTarget{},
+		regions: map[model.Zone]model.Region{},
+		listLag: 2 * time.Second,
+		fatal:   fatal,
+	}
+	w.log = fakeLog{streams: map[record.Stream][]record.Entry{}, oldest: map[record.Stream]model.Offset{}, up: true}
+	w.settings.retention = time.Minute
+	state := config.Empty()
+	state.Services[testService] = config.Service{
+		Name: testService, Keyed: true, Slots: slotsPerCell, Fencing: route.FencingChecked,
+		Concurrency: 4, ColdStart: time.Second, ColdInitial: 1, Timeout: 5 * time.Second,
+	}
+	for z := range zones {
+		w.addZone(&state, z, vmsPerZone, targetsPerZone)
+	}
+	patch, err := config.Diff(config.Empty(), state, "test")
+	if err != nil {
+		fatal("diff: %v", err)
+		return nil
+	}
+	w.append(record.ConfigStream, record.Record{ID: w.newID(), ConfigPatch: &patch})
+	w.publishVMs()
+	for _, name := range w.vmNames() {
+		w.startVM(w.vms[name])
+	}
+	return w
+}
+
+func (w *world) addZone(state *config.State, z, vmsPerZone, targetsPerZone int) {
+	zone := model.Zone(fmt.Sprintf("zone-%c", 'a'+z))
+	region := model.Region(fmt.Sprintf("region-%d", z/2))
+	state.Regions[region] = config.Region{Name: region}
+	state.Zones[zone] = config.Zone{Name: zone, Region: region}
+	w.regions[zone] = region
+	for i := range vmsPerZone {
+		name := fmt.Sprintf("entry-%c%d", 'a'+z, i)
+		w.vms[name] = &entryVM{name: name, zone: zone, rate: 0.99 + 0.02*w.random.Float64()}
+	}
+	for i := range targetsPerZone {
+		id := model.TargetID(fmt.Sprintf("target-%c%d", 'a'+z, i))
+		address := fmt.Sprintf("127.0.0.1:%d", 20000+100*z+i)
+		state.Targets[id] = config.Target{ID: id, Service: testService, Zone: zone, VM: model.VMID(id), Address: targetAddress(address)}
+		t := &fakeTarget{world: w, id: id, zone: string(zone), rate: 0.995 + 0.01*w.random.Float64()}
+		t.start()
+		w.targets[id] = t
+	}
+}
+
+func (w *world) newID() record.ID {
+	w.minted++
+	return record.ID(uuid.NewSHA1(uuid.Nil, fmt.Appendf(nil, "%d", w.minted)))
+}
+
+func (w *world) vmNames() []string {
+	names := make([]string, 0, len(w.vms))
+	for name := range w.vms {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+func (w *world) targetIDs() []model.TargetID {
+	ids := make([]model.TargetID, 0, len(w.targets))
+	for id := range w.targets {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
+
+// startVM starts a process with empty memory.
+func (w *world) startVM(vm *entryVM) {
+	vm.run++
+	vm.alive, vm.paused, vm.left = true, false, false
+	vm.started = w.now
+	vm.backlog = nil
+	vm.table = nil
+	vm.node = control.NewNode(control.Settings{
+		VM: model.VMID(vm.name), Zone: vm.zone, Region: w.regions[vm.zone],
+		Incarnation: model.Incarnation(w.now/time.Millisecond) + 1,
+		Address:     vm.name + ":1",
+		Seeds:       w.seeds(vm.name),
+		Retention:   w.settings.retention,
+		NewID:       w.newID,
+	})
+	w.schedule(vm, vm.run, tickEvery, func() { w.step(vm, control.Tick{}) })
+	w.schedule(vm, vm.run, logPollEvery, func() { w.poll(vm) })
+	w.schedule(vm, vm.run, vmPollEvery, func() { w.pollVMs(vm) })
+}
+
+func (w *world) seeds(self string) map[model.VMID]string {
+	seeds := map[model.VMID]string{}
+	for name := range w.vms {
+		if name != self {
+			seeds[model.VMID(name)] = name + ":1"
+		}
+	}
+	return seeds
+}
+
+// schedule repeats work for as long as the same process of the VM runs.
+func (w *world) schedule(vm *entryVM, run int, every time.Duration, work func()) {
+	w.after(every, func() {
+		if vm.run != run || !vm.alive {
+			return
+		}
+		if !vm.paused {
+			work()
+		}
+		w.schedule(vm, run, every, work)
+	})
+}
+
+func (w *world) step(vm *entryVM, e control.Event) {
+	if !vm.alive {
+		return
+	}
+	if vm.paused {
+		vm.backlog = append(vm.backlog, e)
+		return
+	}
+	instant := model.Instant(float64(w.now-vm.started) * vm.rate)
+	for _, effect := range vm.node.Step(instant, e) {
+		w.carryOut(vm, effect)
+	}
+}
+
+// resume ends a pause: the process handles what waited in its socket buffers.
+func (w *world) resume(vm *entryVM) {
+	if !vm.paused {
+		return
+	}
+	vm.paused = false
+	backlog := vm.backlog
+	vm.backlog = nil
+	for _, e := range backlog {
+		w.step(vm, e)
+	}
+}
+
+func (w *world) carryOut(vm *entryVM, effect control.Effect) {
+	run := vm.run
+	back := func(e control.Event) {
+		if vm.run == run {
+			w.step(vm, e)
+		}
+	}
+	switch e := effect.(type) {
+	case control.Append:
+		w.carryAppend(vm, e, back)
+	case control.Send:
+		w.carrySend(vm, e)
+	case control.Renew:
+		w.carryRenew(vm, e, back)
+	case control.Revoke:
+		w.carryRevoke(vm, e, back)
+	case control.Publish:
+		vm.table = e.Table
+	case control.Left:
+		vm.left = true
+	}
+}
+
+func (w *world) carryAppend(vm *entryVM, e control.Append, back func(control.Event)) {
+	done := false
+	finish := func(ok bool) {
+		if !done {
+			done = true
+			back(control.AppendDone{ID: e.Record.ID, OK: ok})
+		}
+	}
+	w.after(time.Second, func() { finish(false) })
+	w.send(vm.name, "log", func() {
+		if !w.log.up {
+			return
+		}
+		w.append(e.Stream, e.Record)
+		if w.log.loseAnswers > 0 {
+			w.log.loseAnswers--
+			return
+		}
+		w.send("log", vm.name, func() { finish(true) })
+	})
+}
+
+func (w *world) append(stream record.Stream, r record.Record) {
+	offset := w.log.oldest[stream] + model.Offset(len(w.log.streams[stream])) + 1
+	w.log.streams[stream] = append(w.log.streams[stream], record.Entry{Offset: offset, Record: r})
+}
+
+func (w *world) carrySend(vm *entryVM, e control.Send) {
+	other, ok := w.vms[string(e.To)]
+	if !ok {
+		return
+	}
+	w.send(vm.name, other.name, func() {
+		w.step(other, control.PeerMessage{From: model.VMID(vm.name), Message: e.Message})
+	})
+}
+
+func (w *world) carryRenew(vm *entryVM, e control.Renew, back func(control.Event)) {
+	t := w.targets[e.Target]
+	done := false
+	w.after(callTimeout, func() {
+		if !done {
+			done = true
+			back(control.RenewDone{Target: e.Target, Sequence: e.Sequence})
+		}
+	})
+	w.send(vm.name, string(t.id), func() {
+		t.receive(func() {
+			reply := t.renew(e.Request)
+			w.send(string(t.id), vm.name, func() {
+				if !done {
+					done = true
+					back(control.RenewDone{Target: e.Target, Sequence: e.Sequence, Reply: &reply})
+				}
+			})
+		})
+	})
+}
+
+func (w *world) carryRevoke(vm *entryVM, e control.Revoke, back func(control.Event)) {
+	t := w.targets[e.Target]
+	done := false
+	w.after(callTimeout, func() {
+		if !done {
+			done = true
+			back(control.RevokeDone{Target: e.Target, Sequence: e.Sequence})
+		}
+	})
+	w.send(vm.name, string(t.id), func() {
+		t.receive(func() {
+			reply := t.revoke(e.Request)
+			w.send(string(t.id), vm.name, func() {
+				if !done {
+					done = true
+					back(control.RevokeDone{Target: e.Target, Sequence: e.Sequence, Reply: &reply})
+				}
+			})
+		})
+	})
+}
+
+func (w *world) poll(vm *entryVM) {
+	for _, stream := range []record.Stream{record.ConfigStream, record.AssignStream} {
+		w.pollStream(vm, vm.run, stream)
+	}
+}
+
+func (w *world) pollStream(vm *entryVM, run int, stream record.Stream) {
+	answered := false
+	w.after(time.Second, func() {
+		if !answered && vm.run == run {
+			w.step(vm, control.LogDown{Stream: stream})
+		}
+	})
+	w.send(vm.name, "log", func() {
+		if !w.log.up || vm.run != run {
+			return
+		}
+		read := w.readLog(stream, vm.node.NextOffset(stream))
+		w.send("log", vm.name, func() {
+			answered = true
+			if vm.run == run {
+				w.step(vm, read)
+			}
+		})
+	})
+}
+
+func (w *world) readLog(stream record.Stream, from model.Offset) control.LogRead {
+	oldest := w.log.oldest[stream]
+	entries := w.log.streams[stream]
+	start := 0
+	if from > oldest+1 {
+		start = min(len(entries), int(from-oldest-1))
+	}
+	return control.LogRead{
+		Stream:  stream,
+		Entries: append([]record.Entry(nil), entries[start:]...),
+		End:     oldest + model.Offset(len(entries)) + 1,
+	}
+}
+
+// expire drops records older than the newest snapshot that covers them.
+func (w *world) expire(stream record.Stream) {
+	entries := w.log.streams[stream]
+	for i := len(entries) - 1; i >= 0; i-- {
+		snapshot := entries[i].Record.Snapshot
+		if snapshot == nil || snapshot.Covers <= w.log.oldest[stream] {
+			continue
+		}
+		drop := int(snapshot.Covers - w.log.oldest[stream])
+		w.log.streams[stream] = append([]record.Entry(nil), entries[drop:]...)
+		w.log.oldest[stream] = snapshot.Covers
+		return
+	}
+}
+
+// publishVMs brings the VM list in line with what runs, after its lag.
+func (w *world) publishVMs() {
+	list := platform.VMListReply{Version: uint64(w.now) + 1}
+	for _, name := range w.vmNames() {
+		vm := w.vms[name]
+		if vm.run == 0 || vm.alive {
+			list.VMs = append(list.VMs, platform.VM{ID: model.VMID(name), Zone: vm.zone, State: platform.VMLive, PeerAddress: name + ":1"})
+		}
+	}
+	for _, id := range w.targetIDs() {
+		if t := w.targets[id]; t.alive {
+			list.VMs = append(list.VMs, platform.VM{ID: model.VMID(id), Zone: model.Zone(t.zone), State: platform.VMLive})
+		}
+	}
+	if w.now == 0 {
+		w.vmList = list
+		return
+	}
+	w.after(w.listLag, func() {
+		if list.Version >= w.vmList.Version {
+			w.vmList = list
+		}
+	})
+}
+
+func (w *world) pollVMs(vm *entryVM) {
+	run := vm.run
+	w.send(vm.name, "vms", func() {
+		list := w.vmList
+		w.send("vms", vm.name, func() {
+			if vm.run == run {
+				w.step(vm, control.VMListRead{List: list})
+			}
+		})
+	})
+}
+
+// fold returns what the log says now.
+func (w *world) owners() map[model.Slot]model.TargetID {
+	for _, name := range w.vmNames() {
+		vm := w.vms[name]
+		if vm.alive && vm.node.NextOffset(record.AssignStream) > w.log.oldest[record.AssignStream]+model.Offset(len(w.log.streams[record.AssignStream])) {
+			owners := map[model.Slot]model.TargetID{}
+			for slot, ownership := range vm.node.Assignments().Slots {
+				owners[slot] = ownership.Owner
+			}
+			return owners
+		}
+	}
+	return nil
+}
+
+// checkOwners fails if two targets would run a request for the same key now.
+func (w *world) checkOwners() {
+	for index := range uint32(slotsPerCell) {
+		parent := model.Slot{Service: testService, Class: model.AnyRegion, Index: index}
+		for _, hash := range []uint64{1, hotHash(index)} {
+			var serving []model.TargetID
+			for _, id := range w.targetIDs() {
+				if w.targets[id].serves(parent, hash) {
+					serving = append(serving, id)
+				}
+			}
+			if len(serving) > 1 {
+				w.fatal("at %v slot %v hash %d has owners %v", w.now, parent, hash, serving)
+			}
+		}
+	}
+}
+
+func hotHash(index uint32) uint64 { return uint64(1000*slotsPerCell) + uint64(index) }
+
+// served returns how many slots have a serving owner.
+func (w *world) served() int {
+	count := 0
+	for index := range uint32(slotsPerCell) {
+		for _, id := range w.targetIDs() {
+			if w.targets[id].serves(model.Slot{Service: testService, Class: model.AnyRegion, Index: index}, 1) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// digest identifies the folded state of a VM.
+func digest(vm *entryVM) []byte {
+	snapshot, err := vm.node.Assignments().Snapshot()
+	if err != nil {
+		return nil
+	}
+	return bytes.Clone(snapshot.State)
+}
