Let claims of a term last and release stop statements explicitly

Ruled out: release by status messages (a delayed status would release a member while the takeover is still under way).

--- a/internal/config/entity.go
+++ b/internal/config/entity.go
@@ -60,8 +60,8 @@
 	return keys
 }
 
-// clone returns a copy whose maps can be changed without effect on s.
-func (s State) clone() State {
+// Clone returns a copy whose maps can be changed without effect on s.
+func (s State) Clone() State {
 	s.Regions = maps.Clone(s.Regions)
 	s.Zones = maps.Clone(s.Zones)
 	s.Services = maps.Clone(s.Services)
--- a/internal/config/patch.go
+++ b/internal/config/patch.go
@@ -112,7 +112,7 @@
 }
 
 func (s State) changed(patch record.ConfigPatch) (State, error) {
-	changed := s.clone()
+	changed := s.Clone()
 	named := map[record.EntityKey]bool{}
 	for _, key := range keysOf(patch) {
 		if named[key] {
--- a/internal/config/patch_test.go
+++ b/internal/config/patch_test.go
@@ -49,7 +49,7 @@
 	for name, change := range cases {
 		t.Run(name, func(t *testing.T) {
 			before := published(t)
-			after := before.clone()
+			after := before.Clone()
 			change(&after)
 			patch, err := Diff(before, after, "ben")
 			require.NoError(t, err)
@@ -68,7 +68,7 @@
 		func(e *Tenant) { e.HomeRegions = []model.Region{"north", "south"} },
 		func(e *Tenant) { e.Suspended = false },
 	} {
-		next := state.clone()
+		next := state.Clone()
 		edit(next.Tenants, "acme", change)
 		patch, err := Diff(state, next, "ben")
 		require.NoError(t, err)
@@ -143,7 +143,7 @@
 	}
 	zone := rapid.SampledFrom([]model.Zone{"north-a", "south-a"}).Draw(r, "zone")
 	isBroken := rapid.Bool().Draw(r, "broken")
-	to := from.clone()
+	to := from.Clone()
 	edit(to.Zones, zone, func(e *Zone) { e.OutOfService = !e.OutOfService })
 	if isBroken {
 		edit(to.Services, "desk", func(e *Service) { e.Slots++ })
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -108,6 +108,11 @@
 	if n.service(state).Fencing == route.FencingUnchecked {
 		return own == 0 && n.isExclusive(state), term
 	}
+	// A VM that claimed a term in this epoch goes on until the target refuses it. The target may have accepted the claim
+	// although the answer was lost, and refuses all lower terms then.
+	if claimed := state.keeper.Claimed(); claimed.Epoch == term.Epoch {
+		return true, claimed
+	}
 	if refused := state.keeper.Refused(); refused.Epoch == term.Epoch && term.Less(refused) {
 		holder := ranked[int(refused.Rank)%len(ranked)]
 		if n.isAlive(holder) {
@@ -115,9 +120,6 @@
 		}
 		term.Rank = nextRank(refused.Rank, uint16(own), uint16(len(ranked)))
 	}
-	if holding, ok := state.keeper.Holding(n.now); ok && holding.Term == term {
-		return true, term
-	}
 	for _, vm := range ranked[:own] {
 		if n.isAlive(vm) {
 			return false, term
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -34,11 +34,13 @@
 	case m.Heartbeat != nil:
 		n.onHeartbeat(received.From, *m.Heartbeat)
 	case m.StatusUpdate != nil:
-		n.onStatusUpdate(received.From, *m.StatusUpdate)
+		n.onStatusUpdate(*m.StatusUpdate)
 	case m.StopQuery != nil:
 		n.onStopQuery(received.From, *m.StopQuery)
 	case m.StopStatement != nil:
 		n.onStopStatement(received.From, *m.StopStatement)
+	case m.StopRelease != nil:
+		n.onStopRelease(received.From, *m.StopRelease)
 	case m.FetchRecords != nil:
 		n.onFetch(received.From, *m.FetchRecords)
 	case m.Records != nil:
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -38,9 +38,8 @@
 }
 
 // onStatusUpdate takes statuses from their lessor. Older terms and sequences are dropped.
-func (n *Node) onStatusUpdate(from model.VMID, update message.StatusUpdate) {
+func (n *Node) onStatusUpdate(update message.StatusUpdate) {
 	for _, received := range update.Statuses {
-		n.releaseStop(from, received.Target, received.Status.Sequence, received.Status.Serving)
 		known, ok := n.statuses[received.Target]
 		if ok && !supersedes(received.Status, known.status) {
 			continue
--- a/internal/control/takeover.go
+++ b/internal/control/takeover.go
@@ -14,6 +14,8 @@
 	suspectFailures = 3
 	// askInterval is the time between two rounds of stop queries.
 	askInterval = 200 * time.Millisecond
+	// remindInterval is the time between two copies of the same statement.
+	remindInterval = time.Second
 	// maxMovesPerRecord bounds the size of a Reassign record.
 	maxMovesPerRecord = 1024
 )
@@ -33,6 +35,8 @@
 	epoch    model.Offset
 	asker    model.VMID
 	sequence uint64
+	// remindedAt is when the statement was last sent.
+	remindedAt model.Instant
 }
 
 func (n *Node) newTakeover(zone model.Zone) *takeover {
@@ -48,6 +52,10 @@
 func (n *Node) takeOver() {
 	for _, id := range sortedKeys(n.targets) {
 		state := n.targets[id]
+		n.remindStop(state)
+		if !state.acting && !n.outbox.has(takeoverPurpose(id)) {
+			n.release(state)
+		}
 		if n.assign.state.OwnedCount(id) == 0 || !n.logUp {
 			continue
 		}
@@ -186,33 +194,43 @@
 
 // cancelTakeover ends a takeover when the target answers, unless a record that rests on it may already be in the log.
 func (n *Node) cancelTakeover(state *targetState) {
-	if state.takeover == nil || n.outbox.has(takeoverPurpose(state.id)) {
-		return
+	if !n.outbox.has(takeoverPurpose(state.id)) {
+		n.release(state)
 	}
-	state.takeover = nil
-	state.keeper.Resume()
-	state.keeper.Hurry(n.now)
-	n.pendingStats[state.id] = true
 }
 
-// onStopQuery answers whether this VM renews a target's lease.
+// onStopQuery answers whether this VM renews a target's lease. Of two members that take over at the same time the one
+// with the lower name goes on.
 func (n *Node) onStopQuery(from model.VMID, query message.StopQuery) {
 	statement := message.StopStatement{
 		Cell:      query.Cell,
 		CellEpoch: n.assign.state.CellEpoch(query.Cell),
 		Target:    query.Target,
+		Sequence:  query.Sequence,
 	}
 	state, known := n.targets[query.Target]
-	if statement.CellEpoch == query.CellEpoch && known && !n.keepsServing(state) {
-		state.stopFor = &stopPromise{epoch: query.CellEpoch, asker: from, sequence: query.Sequence}
-		state.takeover = nil
-		state.exclusive = nil
-		state.keeper.Stop()
-		n.dirty = true
-		statement.Stopped = true
-		statement.Remaining = max(0, n.ownEndsBy(state).Sub(n.now))
+	yields := known && (state.takeover == nil || from < n.settings.VM)
+	if statement.CellEpoch != query.CellEpoch || !yields || n.keepsServing(state) {
+		n.send(from, message.Message{StopStatement: &statement})
+		return
+	}
+	n.release(state)
+	state.stopFor = &stopPromise{epoch: query.CellEpoch, asker: from, sequence: query.Sequence, remindedAt: n.now}
+	state.exclusive = nil
+	state.keeper.Stop()
+	n.dirty = true
+	n.send(from, message.Message{StopStatement: n.statementFor(state, state.stopFor)})
+}
+
+func (n *Node) statementFor(state *targetState, promise *stopPromise) *message.StopStatement {
+	return &message.StopStatement{
+		Cell:      state.config.Zone,
+		CellEpoch: promise.epoch,
+		Target:    state.id,
+		Stopped:   true,
+		Remaining: max(0, n.ownEndsBy(state).Sub(n.now)),
+		Sequence:  promise.sequence,
 	}
-	n.send(from, message.Message{StopStatement: &statement})
 }
 
 // keepsServing reports whether this VM must not state that it stopped: it holds the lease and the target answers, or a
@@ -230,10 +248,13 @@
 		return
 	}
 	for _, t := range []*takeover{state.takeover, state.exclusive} {
-		if t != nil && t.epoch == statement.CellEpoch {
+		if t != nil && t.epoch == statement.CellEpoch && t.sequence == statement.Sequence {
 			t.endsBy[from] = n.now.Add(statement.Remaining)
+			return
 		}
 	}
+	released := message.StopRelease{Target: statement.Target, Sequence: statement.Sequence}
+	n.send(from, message.Message{StopRelease: &released})
 }
 
 // isExclusive collects the statements that let this VM act for a target that does not check terms, and reports whether it
@@ -256,14 +277,40 @@
 	return n.now >= model.Instant(lease.Bound)
 }
 
-// releaseStop ends this VM's statement when the asker reports that the target serves.
-func (n *Node) releaseStop(from model.VMID, id model.TargetID, sequence uint64, serving bool) {
-	state, known := n.targets[id]
-	if !known || state.stopFor == nil || !serving {
+// remindStop repeats this VM's statement while its target answers, so that an asker that gave the takeover up, and whose
+// release was lost, releases it again.
+func (n *Node) remindStop(state *targetState) {
+	promise := state.stopFor
+	if promise == nil || n.now.Sub(promise.remindedAt) < remindInterval {
+		return
+	}
+	promise.remindedAt = n.now
+	n.send(promise.asker, message.Message{StopStatement: n.statementFor(state, promise)})
+}
+
+// release ends the takeover of a target and frees the members that stated that they stopped for it.
+func (n *Node) release(state *targetState) {
+	if state.takeover == nil {
+		return
+	}
+	for _, vm := range sortedKeys(state.takeover.endsBy) {
+		released := message.StopRelease{Target: state.id, Sequence: state.takeover.sequence}
+		n.send(vm, message.Message{StopRelease: &released})
+	}
+	state.takeover = nil
+	state.keeper.Resume()
+	state.keeper.Hurry(n.now)
+	n.pendingStats[state.id] = true
+}
+
+func (n *Node) onStopRelease(from model.VMID, released message.StopRelease) {
+	state, known := n.targets[released.Target]
+	if !known || state.stopFor == nil {
 		return
 	}
-	if state.stopFor.asker == from && sequence > state.stopFor.sequence {
+	if state.stopFor.asker == from && state.stopFor.sequence == released.Sequence {
 		state.stopFor = nil
 		state.keeper.Resume()
+		state.keeper.Hurry(n.now)
 	}
 }
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -53,6 +53,9 @@
 	reply      target.RenewReply
 	// held is the term that the target last accepted from this process.
 	held model.Term
+	// claimed is the highest term that this process sent and that the target has not refused. The target may have accepted
+	// it even if no answer came.
+	claimed model.Term
 	// uncertain is true after a lost answer to a renewal that raised the term.
 	uncertain bool
 	// refused is the higher term that the target named when it refused this process.
@@ -91,6 +94,7 @@
 		k.endsBy = max(k.endsBy, k.latest.endsBy())
 	}
 	k.inflight = started
+	k.claimed = directive.Term
 	return Call{Sequence: k.sequence, Request: started.request, Fresh: k.failures > 0}, true
 }
 
@@ -179,6 +183,8 @@
 
 func (k *Keeper) refuse(term model.Term) {
 	k.refused = term
+	k.held = model.Term{}
+	k.claimed = model.Term{}
 	k.localEnd = 0
 	k.slots = map[model.Slot]slotHold{}
 }
@@ -306,3 +312,6 @@
 
 // Refused returns the highest term that the target named when it refused this process.
 func (k *Keeper) Refused() model.Term { return k.refused }
+
+// Claimed returns the highest term that this process sent and that the target has not refused since.
+func (k *Keeper) Claimed() model.Term { return k.claimed }
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -26,6 +26,7 @@
 	CancelForward *CancelForward `cbor:"12,keyasint,omitempty"`
 	HotKeys       *HotKeys       `cbor:"13,keyasint,omitempty"`
 	MoveRequest   *MoveRequest   `cbor:"14,keyasint,omitempty"`
+	StopRelease   *StopRelease   `cbor:"15,keyasint,omitempty"`
 }
 
 // Heartbeat says that a process is alive and how far it has folded the streams.
@@ -56,8 +57,7 @@
 	Cell      model.Zone     `cbor:"1,keyasint"`
 	CellEpoch model.Offset   `cbor:"2,keyasint"`
 	Target    model.TargetID `cbor:"3,keyasint"`
-	// Sequence is from the same counter as the sender's statuses. A later status that says that the target serves releases
-	// the receiver.
+	// Sequence identifies the takeover for which the sender asks.
 	Sequence uint64 `cbor:"4,keyasint"`
 }
 
@@ -71,6 +71,14 @@
 	Stopped bool `cbor:"4,keyasint"`
 	// Remaining is the longest time for which a lease renewed by the sender may still be valid.
 	Remaining time.Duration `cbor:"5,keyasint"`
+	// Sequence is that of the query.
+	Sequence uint64 `cbor:"6,keyasint"`
+}
+
+// StopRelease frees the receiver from the statement that it made for a query.
+type StopRelease struct {
+	Target   model.TargetID `cbor:"1,keyasint"`
+	Sequence uint64         `cbor:"2,keyasint"`
 }
 
 // FetchRecords asks a peer for records of a stream from an offset on.
--- /dev/null
+++ b/internal/proof/control_fuzz_test.go
@@ -0,0 +1,126 @@
+package proof
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/config"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+)
+
+const (
+	// settleLimit is the time within which everything is served again after all faults ended. Entry VMs that left or were
+	// replaced need several rounds of membership changes.
+	settleLimit = 20 * time.Second
+	// lossLimit is the time within which a key is served again after a single loss.
+	lossLimit = 3 * time.Second
+	// configLimit is the time within which a configuration is in force everywhere.
+	configLimit = 9 * time.Second
+)
+
+// oracle holds what the checks remember between steps.
+type oracle struct {
+	w        *world
+	versions map[string]model.Offset
+	runs     map[string]int
+	digests  map[model.Offset]string
+}
+
+func newOracle(w *world) *oracle {
+	return &oracle{w: w, versions: map[string]model.Offset{}, runs: map[string]int{}, digests: map[model.Offset]string{}}
+}
+
+// check runs after every event.
+func (o *oracle) check() { o.w.checkOwners() }
+
+// checkStates runs after every action: configuration never reverts, and equal offsets mean equal states.
+func (o *oracle) checkStates() {
+	for _, name := range o.w.vmNames() {
+		vm := o.w.vms[name]
+		if !vm.alive || vm.table == nil || !vm.table.Ready {
+			continue
+		}
+		if version := vm.table.ConfigVersion; version < o.versions[name] {
+			o.w.fatal("%s went back from configuration %d to %d", name, o.versions[name], version)
+		} else {
+			o.versions[name] = version
+		}
+		state := string(digest(vm))
+		offset := vm.node.Assignments().Offset
+		if known, ok := o.digests[offset]; ok && known != state {
+			o.w.fatal("%s has another state at offset %d", name, offset)
+		}
+		o.digests[offset] = state
+	}
+}
+
+// TestControlUnderFaults drives several entry VMs through random faults. It guards against two owners of a key,
+// configuration that reverts, states that differ at the same offset, and a system that does not recover.
+func TestControlUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Int64().Draw(t, "seed")
+		w := newWorld(seed, 2, 3, 3, t.Fatalf)
+		o := newOracle(w)
+		w.runFor(5*time.Second, o.check)
+		actions := w.actions(t, o.check)
+		actions[""] = func(*rapid.T) { o.checkStates() }
+		t.Repeat(actions)
+		w.checkRecovery(o)
+	})
+}
+
+// checkRecovery ends all faults and requires that everything is served again, first after the faults and then after one
+// more loss.
+func (w *world) checkRecovery(o *oracle) {
+	w.healAll()
+	w.publishConfig(func(s *config.State) { restore(s) })
+	published := w.currentConfig().Version
+	start := w.now
+	w.runFor(configLimit, o.check)
+	for _, name := range w.vmNames() {
+		if vm := w.vms[name]; vm.table == nil || vm.table.ConfigVersion < published {
+			w.fatal("%s does not have configuration %d after %v", name, published, configLimit)
+		}
+	}
+	w.awaitServed(o, start, settleLimit, "after all faults ended")
+	w.runFor(8*time.Second, o.check)
+	w.awaitServed(o, w.now, lossLimit, "before the loss")
+	w.loseOne()
+	w.awaitServed(o, w.now, lossLimit, "after a single loss")
+}
+
+func restore(s *config.State) {
+	for name, zone := range s.Zones {
+		zone.OutOfService = false
+		s.Zones[name] = zone
+	}
+	for id, configured := range s.Targets {
+		configured.Drain = false
+		s.Targets[id] = configured
+	}
+}
+
+// loseOne loses one process: the owner of a slot or an entry VM.
+func (w *world) loseOne() {
+	if w.random.Intn(2) == 0 {
+		names := w.vmNames()
+		w.killVM(w.vms[names[w.random.Intn(len(names))]])
+		return
+	}
+	for _, owner := range w.owners() {
+		w.killTarget(w.targets[owner])
+		return
+	}
+}
+
+func (w *world) awaitServed(o *oracle, start time.Duration, limit time.Duration, when string) {
+	for w.served() < slotsPerCell {
+		if w.now-start > limit {
+			w.fatal("%s only %d of %d slots are served after %v\n%s", when, w.served(), slotsPerCell, limit, w.describe())
+			return
+		}
+		w.runFor(25*time.Millisecond, o.check)
+	}
+}
--- /dev/null
+++ b/internal/proof/faults_test.go
@@ -0,0 +1,208 @@
+package proof
+
+import (
+	"fmt"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/config"
+	"github.com/tarragonpoint/tarragonpoint/internal/control"
+	"github.com/tarragonpoint/tarragonpoint/internal/message"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/record"
+)
+
+// spans are the times that pass between two faults. They lie below, at and above the time-outs of the protocol.
+var spans = []time.Duration{
+	0, 5 * time.Millisecond, 60 * time.Millisecond, 350 * time.Millisecond, 900 * time.Millisecond, 1600 * time.Millisecond,
+	2200 * time.Millisecond, 4 * time.Second,
+}
+
+func (w *world) pickVM(t *rapid.T) *entryVM {
+	return w.vms[rapid.SampledFrom(w.vmNames()).Draw(t, "vm")]
+}
+
+func (w *world) pickTarget(t *rapid.T) *fakeTarget {
+	return w.targets[rapid.SampledFrom(w.targetIDs()).Draw(t, "target")]
+}
+
+func (w *world) endpoints() []string {
+	names := append(w.vmNames(), "log", "vms")
+	for _, id := range w.targetIDs() {
+		names = append(names, string(id))
+	}
+	return names
+}
+
+// actions are the faults and repairs of the world. Each runs for a random span of virtual time afterwards.
+func (w *world) actions(t *rapid.T, check func()) map[string]func(*rapid.T) {
+	run := func(t *rapid.T) {
+		w.runFor(rapid.SampledFrom(spans).Draw(t, "span"), check)
+	}
+	then := func(act func(*rapid.T)) func(*rapid.T) {
+		return func(t *rapid.T) {
+			act(t)
+			run(t)
+		}
+	}
+	_ = t
+	return map[string]func(*rapid.T){
+		"pass":          run,
+		"killTarget":    then(func(t *rapid.T) { w.killTarget(w.pickTarget(t)) }),
+		"startTarget":   then(func(t *rapid.T) { w.restartTarget(w.pickTarget(t)) }),
+		"freezeTarget":  then(func(t *rapid.T) { w.pickTarget(t).frozen = true }),
+		"thawTarget":    then(func(t *rapid.T) { w.pickTarget(t).thaw() }),
+		"coldTarget":    then(func(t *rapid.T) { w.pickTarget(t).cold = true }),
+		"killVM":        then(func(t *rapid.T) { w.killVM(w.pickVM(t)) }),
+		"replaceVM":     then(func(t *rapid.T) { w.replaceVM(w.pickVM(t)) }),
+		"pauseVM":       then(func(t *rapid.T) { w.pickVM(t).paused = true }),
+		"resumeVM":      then(func(t *rapid.T) { w.resume(w.pickVM(t)) }),
+		"leaveVM":       then(func(t *rapid.T) { w.step(w.pickVM(t), control.Leave{}) }),
+		"logDown":       then(func(*rapid.T) { w.log.up = false }),
+		"logUp":         then(func(*rapid.T) { w.log.up = true }),
+		"loseAnswers":   then(func(t *rapid.T) { w.log.loseAnswers = rapid.IntRange(1, 5).Draw(t, "answers") }),
+		"slowLog":       then(func(t *rapid.T) { w.slow["log"] = time.Duration(rapid.IntRange(0, 1200).Draw(t, "ms")) * time.Millisecond }),
+		"expire":        then(func(*rapid.T) { w.expire(record.AssignStream); w.expire(record.ConfigStream) }),
+		"cutOneWay":     then(w.cutOneWay),
+		"cutZone":       then(w.cutZone),
+		"healNetwork":   then(func(*rapid.T) { w.cut = map[[2]string]bool{} }),
+		"dropMessages":  then(func(t *rapid.T) { w.dropOneIn = rapid.SampledFrom([]int{0, 3, 10, 50}).Draw(t, "one in") }),
+		"listLag":       then(func(t *rapid.T) { w.listLag = time.Duration(rapid.IntRange(0, 20).Draw(t, "s")) * time.Second }),
+		"zoneOutOrIn":   then(w.toggleZone),
+		"drainTarget":   then(w.toggleDrain),
+		"racePublish":   then(func(t *rapid.T) { w.toggleZone(t); w.toggleDrain(t) }),
+		"hotKey":        then(w.reportHotKey),
+		"healAll":       then(func(*rapid.T) { w.healAll() }),
+		"pauseTwoVMs":   then(func(t *rapid.T) { w.pickVM(t).paused = true; w.pickVM(t).paused = true }),
+		"freezeAndKill": then(func(t *rapid.T) { w.pickTarget(t).frozen = true; w.killVM(w.pickVM(t)) }),
+	}
+}
+
+func (w *world) killTarget(t *fakeTarget) {
+	t.alive = false
+	w.publishVMs()
+}
+
+func (w *world) restartTarget(t *fakeTarget) {
+	t.start()
+	w.publishVMs()
+}
+
+func (w *world) killVM(vm *entryVM) {
+	vm.alive = false
+	w.publishVMs()
+}
+
+func (w *world) replaceVM(vm *entryVM) {
+	w.killVM(vm)
+	w.startVM(vm)
+	w.publishVMs()
+}
+
+func (w *world) cutOneWay(t *rapid.T) {
+	from := rapid.SampledFrom(w.endpoints()).Draw(t, "from")
+	to := rapid.SampledFrom(w.endpoints()).Draw(t, "to")
+	w.cut[[2]string{from, to}] = true
+}
+
+// cutZone cuts a zone off from all others, and perhaps from the platform.
+func (w *world) cutZone(t *rapid.T) {
+	zone := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone")
+	platformToo := rapid.Bool().Draw(t, "platform too")
+	inside := func(name string) bool { return len(name) > 7 && name[len(name)-2:len(name)-1] == zone }
+	for _, a := range w.endpoints() {
+		for _, b := range w.endpoints() {
+			platform := a == "log" || a == "vms" || b == "log" || b == "vms"
+			if inside(a) != inside(b) && (platformToo || !platform) {
+				w.cut[[2]string{a, b}] = true
+			}
+		}
+	}
+}
+
+// currentConfig returns the configuration that the log holds.
+func (w *world) currentConfig() config.State {
+	fold := config.NewFold()
+	entries := w.log.streams[record.ConfigStream]
+	for _, entry := range entries {
+		if snapshot := entry.Record.Snapshot; snapshot != nil && fold.Offset() == 0 && w.log.oldest[record.ConfigStream] > 0 {
+			if fold.LoadSnapshot(*snapshot) == nil {
+				break
+			}
+		}
+	}
+	for _, entry := range entries {
+		if entry.Offset > fold.Offset() {
+			_, _ = fold.Consume(entry)
+		}
+	}
+	return fold.State()
+}
+
+func (w *world) publishConfig(change func(*config.State)) {
+	if !w.log.up {
+		return
+	}
+	from := w.currentConfig()
+	to := from.Clone()
+	change(&to)
+	patch, err := config.Diff(from, to, "operator")
+	if err != nil {
+		w.fatal("diff: %v", err)
+		return
+	}
+	w.append(record.ConfigStream, record.Record{ID: w.newID(), ConfigPatch: &patch})
+}
+
+func (w *world) toggleZone(t *rapid.T) {
+	zone := model.Zone(fmt.Sprintf("zone-%s", rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone")))
+	w.publishConfig(func(s *config.State) {
+		changed := s.Zones[zone]
+		changed.OutOfService = !changed.OutOfService
+		s.Zones[zone] = changed
+	})
+}
+
+func (w *world) toggleDrain(t *rapid.T) {
+	id := w.pickTarget(t).id
+	w.publishConfig(func(s *config.State) {
+		changed := s.Targets[id]
+		changed.Drain = !changed.Drain
+		s.Targets[id] = changed
+	})
+}
+
+func (w *world) reportHotKey(t *rapid.T) {
+	index := uint32(rapid.IntRange(0, slotsPerCell-1).Draw(t, "slot"))
+	slot := model.Slot{Service: testService, Class: model.AnyRegion, Index: index}
+	rate := float64(rapid.IntRange(100, 1000).Draw(t, "rate"))
+	keys := []message.HotKey{{Slot: slot, KeyHash: hotHash(index), Rate: rate}}
+	w.step(w.pickVM(t), control.HotKeysFound{Keys: keys})
+}
+
+// healAll ends all faults.
+func (w *world) healAll() {
+	w.cut = map[[2]string]bool{}
+	w.dropOneIn = 0
+	w.slow = map[string]time.Duration{}
+	w.log.up = true
+	w.log.loseAnswers = 0
+	w.listLag = 0
+	for _, name := range w.vmNames() {
+		vm := w.vms[name]
+		w.resume(vm)
+		if !vm.alive || vm.left {
+			w.startVM(vm)
+		}
+	}
+	for _, id := range w.targetIDs() {
+		t := w.targets[id]
+		t.cold = false
+		if !t.alive {
+			t.start()
+		}
+		t.thaw()
+	}
+	w.publishVMs()
+}
--- a/internal/proof/world_test.go
+++ b/internal/proof/world_test.go
@@ -433,7 +433,7 @@
 				}
 			}
 			if len(serving) > 1 {
-				w.fatal("at %v slot %v hash %d has owners %v", w.now, parent, hash, serving)
+				w.fatal("at %v slot %v hash %d has owners %v\n%s", w.now, parent, hash, serving, w.describe())
 			}
 		}
 	}
