Add stand-ins of the log service, the VM list and targets

Cause: the failures of the platform and of targets must be produced on one machine, in a process and as processes. Decided: a renewal whose ValidUntil has passed on the target's clock, or that names another incarnation, extends nothing and brings no grants; a revoked slot needs a higher fence. A draining target refuses at once unless DrainGrace is set.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -27,6 +27,11 @@
 	ErrUnavailable = errNamespace.NewType("unavailable")
 	// ErrExpired reports that the requested offset is older than the retention of the log.
 	ErrExpired = errNamespace.NewType("expired")
+	// ErrRejected reports that the service refused the call as invalid, for instance an append of a record that is too
+	// large. Nothing was stored.
+	ErrRejected = errNamespace.NewType("rejected")
+	// ErrSettings reports a plug-in without a usable URL.
+	ErrSettings = errNamespace.NewType("settings")
 )
 
 // AppendReply answers an append.
--- /dev/null
+++ b/internal/standin/lease.go
@@ -0,0 +1,149 @@
+package standin
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/target"
+)
+
+// lease is what a target knows of its lease and of its slots. It is lost when the target restarts.
+type lease struct {
+	term    model.Term
+	until   model.Instant
+	version uint64
+	grants  map[string]target.Grant
+	// revoked holds the highest fence of each slot that was taken away; a grant must exceed it.
+	revoked map[string]model.Fence
+}
+
+func newLease() lease {
+	return lease{grants: map[string]target.Grant{}, revoked: map[string]model.Fence{}}
+}
+
+// owns reports whether a request with this slot, fence and key hash may run at an instant.
+func (l *lease) owns(slot, fence, keyHash string, now model.Instant) bool {
+	grant, granted := l.grants[slot]
+	if !granted || now >= l.until || fence != strconv.FormatUint(uint64(grant.Fence), 10) {
+		return false
+	}
+	hash, err := strconv.ParseUint(keyHash, 16, 64)
+	if err != nil {
+		return false
+	}
+	for _, excluded := range grant.Excluded {
+		if excluded == hash {
+			return false
+		}
+	}
+	return true
+}
+
+// take replaces the grants. Fences that were revoked, or are lower than the present one, are left out, because they
+// come from a delayed message.
+func (l *lease) take(request target.RenewRequest) {
+	grants := make(map[string]target.Grant, len(request.Grants))
+	for _, grant := range request.Grants {
+		slot := grant.Slot.String()
+		present, granted := l.grants[slot]
+		if revoked, found := l.revoked[slot]; found && grant.Fence <= revoked {
+			continue
+		}
+		if granted && grant.Fence < present.Fence {
+			grant = present
+		}
+		grants[slot] = grant
+	}
+	for slot, dropped := range l.grants {
+		// A dropped slot may be granted again under the same fence.
+		if _, kept := grants[slot]; !kept && dropped.Fence > 0 {
+			l.revoked[slot] = max(l.revoked[slot], dropped.Fence-1)
+		}
+	}
+	l.grants, l.version = grants, request.GrantsVersion
+}
+
+func (l *lease) revoke(slot string) {
+	if grant, granted := l.grants[slot]; granted {
+		l.revoked[slot] = max(l.revoked[slot], grant.Fence)
+		delete(l.grants, slot)
+	}
+}
+
+// acceptsTerm reports whether a command with the term is obeyed. The mutex is held.
+func (t *Target) acceptsTerm(term model.Term) bool {
+	return t.options.Unchecked || !term.Less(t.lease.term)
+}
+
+func (t *Target) renew(w http.ResponseWriter, r *http.Request) {
+	var request target.RenewRequest
+	if !readJSON(w, r, &request) {
+		return
+	}
+	reply := t.applyRenewal(request)
+	t.waitThawed(r)
+	writeJSON(w, http.StatusOK, reply)
+}
+
+func (t *Target) applyRenewal(request target.RenewRequest) target.RenewReply {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	now := t.now()
+	reply := target.RenewReply{Accepted: t.acceptsTerm(request.Term), PreviousTerm: t.lease.term}
+	if reply.Accepted {
+		t.lease.term = request.Term
+		// A renewal that was held up, or was meant for an older process, extends nothing.
+		if request.Incarnation == t.incarnation && request.ValidUntil > now {
+			t.lease.until = max(t.lease.until, request.ValidUntil)
+			if request.HasGrants {
+				t.lease.take(request)
+			}
+		}
+	}
+	t.limit()
+	reply.Term = t.lease.term
+	reply.Incarnation = t.incarnation
+	reply.Clock = now
+	reply.GrantsVersion = t.lease.version
+	reply.Cold = t.cold
+	reply.Draining = t.drain
+	reply.Load = t.reportedLoad()
+	return reply
+}
+
+func (t *Target) revoke(w http.ResponseWriter, r *http.Request) {
+	var request target.RevokeRequest
+	if !readJSON(w, r, &request) {
+		return
+	}
+	reply := t.applyRevocation(request)
+	t.waitThawed(r)
+	writeJSON(w, http.StatusOK, reply)
+}
+
+func (t *Target) applyRevocation(request target.RevokeRequest) target.RevokeReply {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	reply := target.RevokeReply{Accepted: t.acceptsTerm(request.Term), Incarnation: t.incarnation}
+	if reply.Accepted {
+		t.lease.term = request.Term
+		for _, slot := range request.Slots {
+			t.lease.revoke(slot.String())
+			reply.Running += t.runningFor(slot.String())
+		}
+	}
+	reply.Term = t.lease.term
+	return reply
+}
+
+// runningFor counts the running requests of a slot. The mutex is held.
+func (t *Target) runningFor(slot string) int {
+	count := 0
+	for held := range t.attempts {
+		if held.run != nil && held.run.Slot == slot {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/standin/run.go
@@ -0,0 +1,265 @@
+package standin
+
+import (
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/target"
+)
+
+// maxRequestBytes bounds the body of a request to a target.
+const maxRequestBytes = 64 << 20
+
+// attempt is a request that waits or runs.
+type attempt struct {
+	id, slot, fence, keyHash, term string
+	requestID                      string
+	// notAfter is the latest start on the target's clock; 0 means none.
+	notAfter model.Instant
+	// run is nil until the request starts.
+	run *Run
+	// started and cancelled are closed when that happens; refused is set before started is closed.
+	started, cancelled chan struct{}
+	refused            target.RefusalReason
+}
+
+var refusalStatus = map[target.RefusalReason]int{
+	target.RefusedNotOwner: http.StatusConflict,
+	target.RefusedTerm:     http.StatusConflict,
+	target.RefusedShed:     http.StatusTooManyRequests,
+	target.RefusedDraining: http.StatusServiceUnavailable,
+	target.RefusedDeadline: http.StatusGone,
+}
+
+// serve runs one request.
+func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	t.waitThawed(r)
+	t.setHeaders(w, r)
+	current, crashed, reason := t.enter(r)
+	if reason == "" {
+		reason = t.awaitStart(current, crashed, r)
+	}
+	if reason != "" {
+		t.refuse(w, r, reason)
+		return
+	}
+	if r.URL.Query().Get("crash") == "1" {
+		t.Crash()
+		panic(http.ErrAbortHandler)
+	}
+	outcome := t.work(current, crashed, r)
+	t.leave(current, crashed, outcome)
+	t.waitThawed(r)
+	if outcome == RunCrashed || isClosed(crashed) {
+		panic(http.ErrAbortHandler)
+	}
+	t.respond(w, r, body, outcome)
+}
+
+// enter admits a request to the running ones or to the queue, or says why not.
+func (t *Target) enter(r *http.Request) (*attempt, chan struct{}, target.RefusalReason) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	current, wellFormed := t.parse(r.Header)
+	if !wellFormed {
+		return nil, nil, target.RefusedDeadline
+	}
+	if reason := t.check(current); reason != "" {
+		return nil, nil, reason
+	}
+	if t.shed || (t.running >= t.options.Concurrency && len(t.queue) >= t.options.Queue) {
+		return nil, nil, target.RefusedShed
+	}
+	t.attempts[current] = struct{}{}
+	if t.running < t.options.Concurrency {
+		t.start(current)
+	} else {
+		t.queue = append(t.queue, current)
+	}
+	return current, t.crashed, ""
+}
+
+// parse reads the protocol headers. It returns false if the deadline is malformed. The mutex is held.
+func (t *Target) parse(header http.Header) (*attempt, bool) {
+	current := &attempt{
+		id:        header.Get(target.HeaderAttempt),
+		slot:      header.Get(target.HeaderSlot),
+		fence:     header.Get(target.HeaderFence),
+		keyHash:   header.Get(target.HeaderKeyHash),
+		term:      header.Get(target.HeaderTerm),
+		requestID: header.Get(RequestIDHeader),
+		started:   make(chan struct{}),
+		cancelled: make(chan struct{}),
+	}
+	if text := header.Get(target.HeaderNotAfter); text != "" {
+		nanos, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return nil, false
+		}
+		current.notAfter = model.Instant(nanos)
+	}
+	if text := header.Get(target.HeaderDeadline); text != "" {
+		millis, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || millis <= 0 {
+			return nil, false
+		}
+		limit := t.now().Add(time.Duration(millis) * time.Millisecond)
+		if current.notAfter == 0 || limit < current.notAfter {
+			current.notAfter = limit
+		}
+	}
+	return current, true
+}
+
+// check says why a request may not start now. The mutex is held.
+func (t *Target) check(current *attempt) target.RefusalReason {
+	if current.notAfter != 0 && t.now() > current.notAfter {
+		return target.RefusedDeadline
+	}
+	if t.drain && t.now().Sub(t.drainSince) >= t.options.DrainGrace {
+		return target.RefusedDraining
+	}
+	if t.options.Unchecked {
+		return ""
+	}
+	if current.term != "" {
+		term, ok := parseTerm(current.term)
+		if !ok || term.Less(t.lease.term) {
+			return target.RefusedTerm
+		}
+	}
+	if current.slot != "" && !t.lease.owns(current.slot, current.fence, current.keyHash, t.now()) {
+		return target.RefusedNotOwner
+	}
+	return ""
+}
+
+// start begins a run. The mutex is held.
+func (t *Target) start(current *attempt) {
+	t.running++
+	if t.running > t.limit() {
+		t.overloads++
+	}
+	current.run = &Run{
+		RequestID:   current.requestID,
+		Attempt:     current.id,
+		Slot:        current.slot,
+		Fence:       current.fence,
+		Term:        current.term,
+		Incarnation: t.incarnation,
+		Start:       t.now(),
+		Outcome:     RunOpen,
+	}
+	t.runs = append(t.runs, current.run)
+	close(current.started)
+}
+
+// awaitStart waits in the queue and returns why the request did not start.
+func (t *Target) awaitStart(current *attempt, crashed chan struct{}, r *http.Request) target.RefusalReason {
+	timeout := t.queueTime(current)
+	defer timeout.Stop()
+	select {
+	case <-current.started:
+		return current.refused
+	case <-crashed:
+		panic(http.ErrAbortHandler)
+	case <-timeout.C:
+	case <-current.cancelled:
+	case <-r.Context().Done():
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if position := slices.Index(t.queue, current); position >= 0 {
+		t.queue = slices.Delete(t.queue, position, position+1)
+		delete(t.attempts, current)
+		return target.RefusedDeadline
+	}
+	return current.refused
+}
+
+// queueTime returns a timer for the time left to start; without a deadline it does not fire within an hour.
+func (t *Target) queueTime(current *attempt) *time.Timer {
+	if current.notAfter == 0 {
+		return time.NewTimer(time.Hour)
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return time.NewTimer(current.notAfter.Sub(t.now()))
+}
+
+// work takes the time of the request and returns how it ended.
+func (t *Target) work(current *attempt, crashed chan struct{}, r *http.Request) Outcome {
+	length := t.options.ServiceTime
+	if millis, err := strconv.Atoi(r.URL.Query().Get("work_ms")); err == nil {
+		length = time.Duration(millis) * time.Millisecond
+	}
+	t.mutex.Lock()
+	length += t.stall
+	t.mutex.Unlock()
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return RunDone
+	case <-current.cancelled:
+		return RunCancelled
+	case <-crashed:
+		return RunCrashed
+	}
+}
+
+// leave ends a run and starts waiting requests, each of which is checked again, since its slot may have been revoked.
+func (t *Target) leave(current *attempt, crashed chan struct{}, outcome Outcome) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if isClosed(crashed) {
+		return
+	}
+	t.finish(current.run, outcome)
+	delete(t.attempts, current)
+	t.running--
+	for t.running < t.options.Concurrency && len(t.queue) > 0 {
+		next := t.queue[0]
+		t.queue = t.queue[1:]
+		if next.refused = t.check(next); next.refused == "" {
+			t.start(next)
+			continue
+		}
+		delete(t.attempts, next)
+		close(next.started)
+	}
+}
+
+func (t *Target) finish(run *Run, outcome Outcome) { run.End, run.Outcome = t.now(), outcome }
+
+func (t *Target) cancel(w http.ResponseWriter, r *http.Request) {
+	var request target.CancelRequest
+	if !readJSON(w, r, &request) {
+		return
+	}
+	t.mutex.Lock()
+	for held := range t.attempts {
+		if held.id == request.Attempt && !isClosed(held.cancelled) {
+			close(held.cancelled)
+		}
+	}
+	t.mutex.Unlock()
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+func isClosed(channel <-chan struct{}) bool {
+	select {
+	case <-channel:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/standin/target_test.go
@@ -0,0 +1,190 @@
+package standin_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/standin"
+	"github.com/tarragonpoint/tarragonpoint/internal/target"
+)
+
+var slot = model.Slot{Service: "draft-review", Class: model.AnyRegion, Index: 3}
+
+// rig is a target with a manual clock behind a relay.
+type rig struct {
+	*standin.Target
+	client  *target.HTTPClient
+	relay   *standin.Relay
+	address target.Address
+	clock   chan model.Instant
+}
+
+func newRig(t *testing.T, options standin.TargetOptions) *rig {
+	r := &rig{client: &target.HTTPClient{}, clock: make(chan model.Instant, 1)}
+	r.clock <- 0
+	options.Now = func() model.Instant {
+		now := <-r.clock
+		r.clock <- now
+		return now
+	}
+	var server *standin.Server
+	options.OnCrash = func() { server.CloseConnections() }
+	r.Target = standin.NewTarget(options)
+	server, err := standin.Listen("127.0.0.1:0", r.Target)
+	require.NoError(t, err)
+	r.relay, err = standin.NewRelay(server.Address)
+	require.NoError(t, err)
+	r.address = target.Address(r.relay.Address)
+	t.Cleanup(func() {
+		r.Control(standin.TargetControl{Freeze: new(bool)})
+		require.NoError(t, r.client.Stop(context.Background()))
+		r.relay.Close()
+		server.Close()
+	})
+	return r
+}
+
+func (r *rig) advance(d time.Duration) { r.clock <- (<-r.clock).Add(d) }
+
+// grant renews for 2 s with the slot under a fence.
+func (r *rig) grant(t *testing.T, term model.Term, fence model.Fence, excluded ...uint64) target.RenewReply {
+	report := r.Report()
+	reply, err := r.client.Renew(context.Background(), r.address, target.RenewRequest{
+		Term:          term,
+		Incarnation:   report.Incarnation,
+		ValidUntil:    report.Clock.Add(2 * time.Second),
+		GrantsVersion: uint64(fence),
+		HasGrants:     true,
+		Grants:        []target.Grant{{Slot: slot, Fence: fence, Excluded: excluded}},
+	}, false)
+	require.NoError(t, err)
+	return reply
+}
+
+func (r *rig) send(change func(*target.Request)) (target.Response, error) {
+	request := target.Request{Attempt: "a", Method: http.MethodPost, Path: "/x", Slot: &slot, Fence: 5, KeyHash: 1, Timeout: 10 * time.Second}
+	request.Header = http.Header{standin.RequestIDHeader: {"id"}}
+	request.Body = []byte("body")
+	if change != nil {
+		change(&request)
+	}
+	return r.client.Do(context.Background(), r.address, request)
+}
+
+func (r *rig) refusal(t *testing.T, change func(*target.Request)) target.RefusalReason {
+	response, err := r.send(change)
+	require.NoError(t, err)
+	return response.NotRun
+}
+
+// Guards against a stand-in that runs what a real target refuses: tests above it would then prove nothing.
+func TestTargetChecksLeaseFenceTermAndKey(t *testing.T) {
+	r := newRig(t, standin.TargetOptions{ID: "t1"})
+	require.Equal(t, target.RefusedNotOwner, r.refusal(t, nil))
+	require.True(t, r.grant(t, model.Term{Epoch: 3}, 5, 77).Accepted)
+	response, err := r.send(nil)
+	require.NoError(t, err)
+	require.Empty(t, response.NotRun)
+	require.NoError(t, standin.VerifyAnswer(response.Body, "id", []byte("body")))
+	require.Error(t, standin.VerifyAnswer(response.Body, "other", []byte("body")))
+	require.Equal(t, target.RefusedNotOwner, r.refusal(t, func(q *target.Request) { q.Fence = 4 }))
+	require.Equal(t, target.RefusedNotOwner, r.refusal(t, func(q *target.Request) { q.KeyHash = 77 }))
+	require.Equal(t, target.RefusedTerm, r.refusal(t, func(q *target.Request) { q.Term = &model.Term{Epoch: 2, Rank: 9} }))
+	require.False(t, r.grant(t, model.Term{Epoch: 2}, 9).Accepted)
+	reply := r.grant(t, model.Term{Epoch: 4}, 5)
+	require.Equal(t, model.Term{Epoch: 3}, reply.PreviousTerm)
+	require.Equal(t, target.RefusedDeadline, r.refusal(t, func(q *target.Request) { q.Timeout, q.NotAfter = time.Second, -1 }))
+	r.advance(2 * time.Second)
+	require.Equal(t, target.RefusedNotOwner, r.refusal(t, nil))
+	require.Len(t, r.Runs(), 1)
+}
+
+// Guards against a slot that comes back through a delayed renewal after it was revoked.
+func TestRevokedSlotNeedsAHigherFence(t *testing.T) {
+	r := newRig(t, standin.TargetOptions{})
+	term := model.Term{Epoch: 1}
+	r.grant(t, term, 5)
+	revoked, err := r.client.Revoke(context.Background(), r.address, target.RevokeRequest{Term: term, Slots: []model.Slot{slot}})
+	require.NoError(t, err)
+	require.True(t, revoked.Accepted)
+	r.grant(t, term, 5)
+	require.Equal(t, target.RefusedNotOwner, r.refusal(t, nil))
+	r.grant(t, term, 6)
+	require.Empty(t, r.refusal(t, func(q *target.Request) { q.Fence = 6 }))
+}
+
+// Guards against a lease that a frozen target takes over from a renewal that waited in its socket.
+func TestRenewalReadAfterAFreezeExtendsNothing(t *testing.T) {
+	r := newRig(t, standin.TargetOptions{})
+	frozen := true
+	r.Control(standin.TargetControl{Freeze: &frozen})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.grant(t, model.Term{Epoch: 1}, 5)
+	}()
+	require.Eventually(t, func() bool { return len(r.relay.Lines()) == 1 }, 10*time.Second, time.Millisecond)
+	r.advance(3 * time.Second)
+	r.Control(standin.TargetControl{Freeze: new(bool)})
+	<-done
+	require.Zero(t, r.Report().LeaseUntil)
+	require.Zero(t, r.Report().Grants)
+}
+
+// Guards against a crash that leaves grants or the incarnation in place, or that answers the request which caused it.
+func TestCrashLosesGrantsAndAnswersNothing(t *testing.T) {
+	r := newRig(t, standin.TargetOptions{})
+	before := r.grant(t, model.Term{Epoch: 1}, 5).Incarnation
+	_, err := r.send(func(q *target.Request) { q.Path = "/x?crash=1" })
+	require.True(t, errorx.IsOfType(err, target.ErrBroken), "%v", err)
+	require.NotEqual(t, before, r.Report().Incarnation)
+	require.Equal(t, target.RefusedNotOwner, r.refusal(t, nil))
+	require.Equal(t, standin.RunCrashed, r.Runs()[0].Outcome)
+	reply, err := r.client.Renew(context.Background(), r.address, target.RenewRequest{Incarnation: before, ValidUntil: 1 << 40}, true)
+	require.NoError(t, err)
+	require.NotEqual(t, before, reply.Incarnation)
+	require.Zero(t, r.Report().LeaseUntil)
+}
+
+// Guards against an overload in the cold ramp that goes uncounted, a full queue that is not shed, and a cancelled
+// request that keeps its place.
+func TestColdOverloadShedAndCancel(t *testing.T) {
+	r := newRig(t, standin.TargetOptions{Concurrency: 2, Queue: 0, ColdStart: time.Second, ColdInitial: 1, Unchecked: true})
+	ctx, cancel := context.WithCancel(context.Background())
+	errs := make(chan error, 2)
+	for _, id := range []string{"1", "2"} {
+		go func() {
+			_, err := r.client.Do(ctx, r.address, target.Request{Attempt: id, Method: "POST", Path: "/x?work_ms=600000", Timeout: time.Minute})
+			errs <- err
+		}()
+	}
+	require.Eventually(t, func() bool { return r.Report().Running == 2 }, 10*time.Second, time.Millisecond)
+	require.Equal(t, 1, r.Report().Overloads)
+	require.Equal(t, target.RefusedShed, r.refusal(t, nil))
+	cancel()
+	for range 2 {
+		require.True(t, errorx.IsOfType(<-errs, target.ErrTimeout))
+	}
+	require.Eventually(t, func() bool { return r.Report().Running == 0 }, 10*time.Second, time.Millisecond)
+	require.Equal(t, standin.RunCancelled, r.Runs()[0].Outcome)
+}
+
+// Guards against one silent connection that also stops new ones, and against a relay that loses the silence.
+func TestSilentLineLeavesNewConnectionsAlone(t *testing.T) {
+	r := newRig(t, standin.TargetOptions{})
+	r.grant(t, model.Term{Epoch: 1}, 5)
+	r.relay.Lines()[0].SetSilent(true)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := r.client.Renew(ctx, r.address, target.RenewRequest{Term: model.Term{Epoch: 1}}, false)
+	require.True(t, errorx.IsOfType(err, target.ErrTimeout), "%v", err)
+	_, err = r.client.Renew(context.Background(), r.address, target.RenewRequest{Term: model.Term{Epoch: 1}}, true)
+	require.NoError(t, err)
+	require.Empty(t, r.refusal(t, nil))
+}
