Correct the account of what http.Transport sends again

HTTPClient sends 2 in all cases (TestRequestIsSentOnceWhenAReusedConnectionCloses, with the key). Conclusion: the adapter stays, because it also tells unsent requests from broken ones by the bytes the kernel took.

--- a/internal/target/http_test.go
+++ b/internal/target/http_test.go
@@ -92,7 +92,7 @@
 }
 
 // Guards against a request that is sent again on a new connection when a reused connection breaks. http.Transport does
-// that for GET, for PUT without a body and for requests with an Idempotency-Key.
+// that for GET and for every method with an Idempotency-Key.
 func TestRequestIsSentOnceWhenAReusedConnectionCloses(t *testing.T) {
 	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodDelete} {
 		raw := startRaw(t, func(number int64, request *http.Request) []byte {
