Add the settings of the entry role

Cause: the entry process needs typed settings from flags and environment variables, checked at once before anything starts.

Decided: peers are written vm=IP:port, because the peer transport needs the VM of each address; keys have at least 32 bytes. The key flag accepts any text and is checked later, since the flag package prints a refused value. URLs are never printed, as they may contain credentials.

--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -70,7 +70,7 @@
 }
 
 func (c *collector) checkName(field, name string) {
-	if !namePattern.MatchString(name) {
+	if !IsName(name) {
 		c.add(field, "use 1 to 63 letters, digits, '.', '_' or '-', and start with a letter or digit", "%q is not a valid name", name)
 	}
 }
@@ -126,7 +126,7 @@
 	checkRange(c, "imbalance_percent", rules.ImbalancePercent, 0, maxImbalancePercent)
 	checkRange(c, "spill_bytes_per_second", rules.SpillBytesPerSecond, 0, MaxSpillBytesPerSecond)
 	checkRange(c, "hot_key_rate", rules.HotKeyRate, 0, MaxRate)
-	if !pluginPattern.MatchString(rules.Balance) {
+	if !IsPluginID(rules.Balance) {
 		c.add("balance", `write a dotted ID such as "balance.p2c"`, "%q is not a plug-in ID", rules.Balance)
 	}
 }
@@ -157,3 +157,9 @@
 		return ""
 	}
 }
+
+// IsPluginID reports whether the text is a dotted plug-in ID such as "balance.p2c".
+func IsPluginID(text string) bool { return pluginPattern.MatchString(text) }
+
+// IsName reports whether the text may name a VM, zone, region, service, target or tenant.
+func IsName(text string) bool { return namePattern.MatchString(text) }
--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,148 @@
+package settings
+
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/config"
+	"github.com/tarragonpoint/tarragonpoint/internal/kernel"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+)
+
+const (
+	minKeyBytes       = 32
+	minHeaderBytes    = 1 << 10
+	maxHeaderBytes    = 1 << 20
+	maxBodyBytes      = 1 << 30
+	minTimeout        = time.Millisecond
+	maxTimeout        = 10 * time.Minute
+	maxConnectionsCap = 1 << 20
+)
+
+var logLevels = []string{"debug", "info", "warn", "error"}
+
+// checker gathers the faults of settings, each with its flag and variable.
+type checker struct{ faults []string }
+
+func (c *checker) add(name, problem string, args ...any) {
+	definition := Definition{Flag: name}
+	c.faults = append(c.faults, fmt.Sprintf("-%s (%s): %s", name, definition.Variable(), fmt.Sprintf(problem, args...)))
+}
+
+// Check returns ErrInvalid with all faults of the settings, one a line, or nil. The message contains no secret.
+func Check(entry Entry) error {
+	c := &checker{}
+	c.name("vm-id", string(entry.VM))
+	c.name("zone", string(entry.Zone))
+	c.name("region", string(entry.Region))
+	c.listen("listen-callers", entry.ListenCallers)
+	c.address("listen-peers", entry.ListenPeers)
+	c.listen("listen-admin", entry.ListenAdmin)
+	c.url("platform-log-url", entry.LogURL)
+	c.url("platform-vmlist-url", entry.VMListURL)
+	c.peers(entry)
+	c.keys(entry.PeerKeys)
+	checkRange(c, "max-header-bytes", entry.MaxHeaderBytes, minHeaderBytes, maxHeaderBytes)
+	checkRange(c, "max-body-bytes", entry.MaxBodyBytes, 1, maxBodyBytes)
+	checkRange(c, "read-timeout", entry.ReadTimeout, minTimeout, maxTimeout)
+	checkRange(c, "max-connections", entry.MaxConnections, 1, maxConnectionsCap)
+	checkRange(c, "request-timeout", entry.RequestTimeout, minTimeout, maxTimeout)
+	checkRange(c, "drain-time", entry.DrainTime, 0, maxTimeout)
+	if !slices.Contains(logLevels, entry.LogLevel) {
+		c.add("log-level", "%q is none of %s", entry.LogLevel, strings.Join(logLevels, ", "))
+	}
+	c.plugins(entry.Plugins)
+	if len(c.faults) == 0 {
+		return nil
+	}
+	return ErrInvalid.New("%s", strings.Join(c.faults, "\n"))
+}
+
+func (c *checker) name(name, value string) {
+	switch {
+	case value == "":
+		c.add(name, "is required")
+	case !config.IsName(value):
+		c.add(name, "%q is not a valid name; use letters, digits, '.', '_' or '-'", value)
+	}
+}
+
+func (c *checker) address(name, value string) {
+	if value == "" {
+		c.add(name, "is required, in the form IP:port")
+		return
+	}
+	if problem := config.CheckAddress(value); problem != "" {
+		c.add(name, "%q %s", value, problem)
+	}
+}
+
+// listen accepts an unspecified IP as well.
+func (c *checker) listen(name, value string) {
+	parsed, err := netip.ParseAddrPort(value)
+	if err == nil && parsed.Port() != 0 && parsed.Addr().IsUnspecified() {
+		return
+	}
+	c.address(name, value)
+}
+
+// url does not print the value, which may contain credentials.
+func (c *checker) url(name, value string) {
+	parsed, err := url.Parse(value)
+	switch {
+	case value == "":
+		c.add(name, "is required")
+	case err != nil || parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https"):
+		c.add(name, `is not a URL such as "http://10.0.0.1:7000"`)
+	case parsed.User != nil:
+		c.add(name, "must not contain a user or password")
+	}
+}
+
+func (c *checker) peers(entry Entry) {
+	seen := map[model.VMID]bool{entry.VM: true}
+	for _, peer := range entry.Peers {
+		c.name("peers", string(peer.VM))
+		c.address("peers", peer.Address)
+		if seen[peer.VM] {
+			c.add("peers", "VM %q is named twice or is this VM", peer.VM)
+		}
+		seen[peer.VM] = true
+	}
+}
+
+func (c *checker) keys(keys Keys) {
+	if len(keys) == 0 {
+		c.add("peer-keys", "is required")
+	}
+	for i, key := range keys {
+		if length := len(key.Reveal()); length < minKeyBytes {
+			c.add("peer-keys", "key %d has %d bytes, at least %d are needed", i+1, length, minKeyBytes)
+		}
+	}
+}
+
+func (c *checker) plugins(plugins Plugins) {
+	c.plugin("plugin-log", plugins.Log)
+	c.plugin("plugin-vmlist", plugins.VMList)
+	c.plugin("plugin-target", plugins.Target)
+	c.plugin("plugin-peer", plugins.Peer)
+	c.plugin("plugin-front", plugins.Front)
+}
+
+func (c *checker) plugin(name string, id kernel.ID) {
+	if !config.IsPluginID(string(id)) {
+		c.add(name, `%q is not a plug-in ID such as "front.http"`, id)
+	}
+}
+
+func checkRange[T cmp.Ordered](c *checker, name string, value, low, high T) {
+	if value < low || value > high {
+		c.add(name, "%v is not between %v and %v", value, low, high)
+	}
+}
--- /dev/null
+++ b/internal/settings/definition.go
@@ -0,0 +1,64 @@
+package settings
+
+import (
+	"flag"
+	"fmt"
+	"strings"
+
+	"github.com/joomcode/errorx"
+	"github.com/peterbourgon/ff/v3"
+)
+
+var (
+	errNamespace = errorx.NewNamespace("settings")
+	// ErrInvalid reports settings that are missing or wrong.
+	ErrInvalid = errNamespace.NewType("invalid")
+)
+
+// EnvironmentPrefix starts the name of every environment variable, followed by "_".
+const EnvironmentPrefix = "TARRAGONPOINT"
+
+// Definition describes one setting.
+type Definition struct {
+	// Flag is the name of the flag without dashes.
+	Flag string
+	// Unit is the unit or form of the value.
+	Unit string
+	// Default is the value if none is set; "" means that there is none.
+	Default string
+	// Usage is one sentence for operators.
+	Usage string
+
+	bind func(*Entry) flag.Value
+}
+
+// Variable returns the name of the environment variable.
+func (d Definition) Variable() string {
+	return EnvironmentPrefix + "_" + strings.ToUpper(strings.ReplaceAll(d.Flag, "-", "_"))
+}
+
+func (d Definition) help() string {
+	return fmt.Sprintf("%s Unit: %s. Variable: %s.", d.Usage, d.Unit, d.Variable())
+}
+
+// Bind defines the flags of the entry role and sets the defaults.
+func Bind(flags *flag.FlagSet, entry *Entry) error {
+	for _, definition := range definitions {
+		value := definition.bind(entry)
+		if err := value.Set(definition.Default); err != nil && definition.Default != "" {
+			return ErrInvalid.Wrap(err, "default of -%s", definition.Flag)
+		}
+		flags.Var(value, definition.Flag, definition.help())
+	}
+	return nil
+}
+
+// Options returns the options under which ff reads environment variables.
+func Options() []ff.Option {
+	return []ff.Option{ff.WithEnvVarPrefix(EnvironmentPrefix)}
+}
+
+// Definitions returns all settings of the entry role in the order of the documentation.
+func Definitions() []Definition {
+	return append([]Definition(nil), definitions...)
+}
--- /dev/null
+++ b/internal/settings/value.go
@@ -0,0 +1,105 @@
+package settings
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+)
+
+// text is a flag.Value for any kind of string.
+type text[T ~string] struct{ into *T }
+
+// Set implements flag.Value.
+func (v text[T]) Set(value string) error {
+	*v.into = T(value)
+	return nil
+}
+
+// String implements flag.Value.
+func (v text[T]) String() string {
+	if v.into == nil {
+		return ""
+	}
+	return string(*v.into)
+}
+
+// count is a flag.Value for whole numbers.
+type count[T ~int | ~int64] struct{ into *T }
+
+// Set implements flag.Value.
+func (v count[T]) Set(value string) error {
+	parsed, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || int64(T(parsed)) != parsed {
+		return ErrInvalid.New("not a whole number")
+	}
+	*v.into = T(parsed)
+	return nil
+}
+
+// String implements flag.Value.
+func (v count[T]) String() string {
+	if v.into == nil {
+		return ""
+	}
+	return strconv.FormatInt(int64(*v.into), 10)
+}
+
+// duration is a flag.Value for durations such as "2s".
+type duration struct{ into *time.Duration }
+
+// Set implements flag.Value.
+func (v duration) Set(value string) error {
+	parsed, err := time.ParseDuration(value)
+	if err != nil {
+		return ErrInvalid.New(`not a duration such as "2s" or "500ms"`)
+	}
+	*v.into = parsed
+	return nil
+}
+
+// String implements flag.Value.
+func (v duration) String() string {
+	if v.into == nil {
+		return ""
+	}
+	return v.into.String()
+}
+
+// peerList is a flag.Value for peers in the form vm=IP:port, separated by commas.
+type peerList struct{ into *[]Peer }
+
+// Set implements flag.Value. Check reports malformed addresses.
+func (v peerList) Set(value string) error {
+	var peers []Peer
+	for _, item := range split(value) {
+		vm, address, found := strings.Cut(item, "=")
+		if !found {
+			return ErrInvalid.New("%q is not of the form vm=IP:port", item)
+		}
+		peers = append(peers, Peer{VM: model.VMID(vm), Address: address})
+	}
+	*v.into = peers
+	return nil
+}
+
+// String implements flag.Value.
+func (v peerList) String() string {
+	if v.into == nil {
+		return ""
+	}
+	items := make([]string, 0, len(*v.into))
+	for _, peer := range *v.into {
+		items = append(items, fmt.Sprintf("%s=%s", peer.VM, peer.Address))
+	}
+	return strings.Join(items, ",")
+}
+
+func split(value string) []string {
+	if value == "" {
+		return nil
+	}
+	return strings.Split(value, ",")
+}
