--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -70,6 +70,7 @@
 
 	LogUnavailable    Code = 501
 	VMListUnavailable Code = 502
+	AdminUnavailable  Code = 503
 
 	SettingsInvalid Code = 601
 	UsageError      Code = 602
@@ -137,6 +138,7 @@
 	{ConfigTooLarge, "config-too-large", NotRun, 0, ExitInvalid, "The change exceeds the size of a record.", "Publish it in parts."},
 	{LogUnavailable, "log-unavailable", Unknown, 0, ExitUnavailable, "The log service does not answer.", "Check the platform; run the command again."},
 	{VMListUnavailable, "vm-list-unavailable", NotRun, 0, ExitUnavailable, "The VM list does not answer.", "Check the platform."},
+	{AdminUnavailable, "admin-unavailable", NotRun, 0, ExitUnavailable, "The admin endpoint of an entry VM does not answer.", "Check the address and the entry VM."},
 	{SettingsInvalid, "settings-invalid", NotRun, 0, ExitUsage, "Settings are missing or wrong.", "Correct the flags and variables that the message names."},
 	{UsageError, "usage", NotRun, 0, ExitUsage, "The command line is wrong.", "Run the command with --help."},
 	{Internal, "internal", Unknown, http.StatusInternalServerError, ExitFailure, "The router failed.", "Report the log line."},
