Add the command line

Cause: operators check, compare and publish the configuration, take zones and targets out, and ask entry VMs for owners and status.

Conclusion: main has to call cli.New(version, runEntry).Run.

--- /dev/null
+++ b/internal/cli/change_command.go
@@ -0,0 +1,75 @@
+package cli
+
+import (
+	"context"
+	"maps"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/config"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/result"
+)
+
+// edit changes one entity, which args name, in a state that it copies as far as necessary.
+type edit func(state config.State, name string) (config.State, error)
+
+func (p *Program) zoneCommand() *ffcli.Command {
+	group := p.group("zone", "take a zone out of service or return it")
+	group.Subcommands = []*ffcli.Command{
+		p.changeCommand("out", "ZONE", "take a zone out of service", setZone(true)),
+		p.changeCommand("in", "ZONE", "return a zone to service", setZone(false)),
+	}
+	return group
+}
+
+func (p *Program) targetCommand() *ffcli.Command {
+	group := p.group("target", "drain a target or return it")
+	group.Subcommands = []*ffcli.Command{
+		p.changeCommand("drain", "TARGET", "empty a target and give it no new work", setDrain(true)),
+		p.changeCommand("undrain", "TARGET", "return a drained target to service", setDrain(false)),
+	}
+	return group
+}
+
+func (p *Program) changeCommand(name, argument, help string, change edit) *ffcli.Command {
+	flags := p.flags(name)
+	var log logFlags
+	log.bind(flags)
+	log.bindAuthor(flags)
+	return p.command(name, argument, help, flags, func(ctx context.Context, args []string) error {
+		ctx, cancel, opened, err := p.open(ctx, &log)
+		if err != nil {
+			return err
+		}
+		defer cancel()
+		published, err := opened.change(ctx, func(state config.State) (config.State, error) { return change(state, args[0]) })
+		return p.conclude(published, err)
+	})
+}
+
+func setZone(isOut bool) edit {
+	return func(state config.State, name string) (config.State, error) {
+		zone, found := state.Zones[model.Zone(name)]
+		if !found {
+			return state, failure(result.UsageError, "version %d has no zone %q", state.Version, name)
+		}
+		zone.OutOfService = isOut
+		state.Zones = maps.Clone(state.Zones)
+		state.Zones[zone.Name] = zone
+		return state, nil
+	}
+}
+
+func setDrain(isDrained bool) edit {
+	return func(state config.State, name string) (config.State, error) {
+		target, found := state.Targets[model.TargetID(name)]
+		if !found {
+			return state, failure(result.UsageError, "version %d has no target %q", state.Version, name)
+		}
+		target.Drain = isDrained
+		state.Targets = maps.Clone(state.Targets)
+		state.Targets[target.ID] = target
+		return state, nil
+	}
+}
--- /dev/null
+++ b/internal/cli/failure.go
@@ -0,0 +1,91 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/config"
+	"github.com/tarragonpoint/tarragonpoint/internal/kernel"
+	"github.com/tarragonpoint/tarragonpoint/internal/platform"
+	"github.com/tarragonpoint/tarragonpoint/internal/result"
+	"github.com/tarragonpoint/tarragonpoint/internal/settings"
+)
+
+// Failure is an error that ends a command with a result code.
+type Failure struct {
+	Code    result.Code
+	Message string
+}
+
+// Error implements error.
+func (f *Failure) Error() string { return f.Message }
+
+func failure(code result.Code, format string, args ...any) *Failure {
+	return &Failure{Code: code, Message: fmt.Sprintf(format, args...)}
+}
+
+// report formats the failure with its code, name and remedy. Several faults are listed one a line.
+func (f *Failure) report() string {
+	info := result.Lookup(f.Code)
+	message := f.Message
+	if strings.Contains(message, "\n") {
+		message = "\n  " + strings.ReplaceAll(message, "\n", "\n  ") + "\n"
+	}
+	return fmt.Sprintf("tarragonpoint: %d %s: %s; what to do: %s", info.Code, info.Name, message, info.Action)
+}
+
+func (f *Failure) exit() int {
+	if code := result.Lookup(f.Code).Exit; code != result.ExitOK {
+		return code
+	}
+	return result.ExitFailure
+}
+
+var codesOfTypes = []struct {
+	kind *errorx.Type
+	code result.Code
+}{
+	{config.ErrSyntax, result.ConfigSyntax},
+	{config.ErrInvalid, result.ConfigInvalid},
+	{config.ErrConflict, result.ConfigConflict},
+	{config.ErrTooLarge, result.ConfigTooLarge},
+	{platform.ErrUnavailable, result.LogUnavailable},
+	{platform.ErrExpired, result.LogUnavailable},
+	{settings.ErrInvalid, result.SettingsInvalid},
+	{kernel.ErrUnknownPlugin, result.SettingsInvalid},
+	{kernel.ErrLifecycle, result.SettingsInvalid},
+}
+
+// asTyped gives errors without a type the code Internal, so that they differ from errors of the flag parser.
+func asTyped(err error) error {
+	var failed *Failure
+	if err == nil || errors.As(err, &failed) || errorx.Cast(err) != nil {
+		return err
+	}
+	return failure(result.Internal, "%v", err)
+}
+
+// asFailure finds the result code of an error. Errors of the flag parser have no type of their own.
+func asFailure(err error) *Failure {
+	var failed *Failure
+	if errors.As(err, &failed) {
+		return failed
+	}
+	typed := errorx.Cast(err)
+	if typed == nil {
+		return failure(result.UsageError, "%v", err)
+	}
+	message := typed.Message()
+	if typed.Cause() != nil {
+		message = typed.Error()
+	}
+	for _, known := range codesOfTypes {
+		if typed.IsOfType(known.kind) {
+			return failure(known.code, "%s", message)
+		}
+	}
+	return failure(result.Internal, "%s", message)
+}
--- /dev/null
+++ b/internal/cli/program.go
@@ -0,0 +1,99 @@
+// Package cli is the command line of the router: the entry role and the operators' commands.
+//
+// Commands print results on the standard output and numbered errors on the standard error:
+//
+//	tarragonpoint: 403 config-conflict: MESSAGE; what to do: ACTION
+//
+// Exit codes are those of package result.
+package cli
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/kernel"
+	"github.com/tarragonpoint/tarragonpoint/internal/platform"
+	"github.com/tarragonpoint/tarragonpoint/internal/result"
+	"github.com/tarragonpoint/tarragonpoint/internal/settings"
+)
+
+// LogFactory returns the client of the log service that a plug-in provides for a base URL.
+type LogFactory func(ctx context.Context, id kernel.ID, url string) (platform.Log, error)
+
+// Program holds what the commands use. All fields are required; New sets them for a real process.
+type Program struct {
+	Stdout io.Writer
+	Stderr io.Writer
+	// Version is what the version command prints.
+	Version string
+	// RunEntry runs the entry role until ctx ends. Its settings have been checked.
+	RunEntry func(ctx context.Context, entry settings.Entry) error
+	NewLog   LogFactory
+	// HTTP asks the admin endpoints of entry VMs.
+	HTTP *http.Client
+	// Pause waits between two attempts to reach the log, or until ctx ends.
+	Pause func(ctx context.Context, wait time.Duration)
+}
+
+// New returns a program for the process's standard output and error.
+func New(version string, runEntry func(ctx context.Context, entry settings.Entry) error) *Program {
+	return &Program{
+		Stdout:   os.Stdout,
+		Stderr:   os.Stderr,
+		Version:  version,
+		RunEntry: runEntry,
+		NewLog:   NewPluginLog,
+		// Without a transport of its own, the client would follow proxy settings of the environment.
+		HTTP:  &http.Client{Transport: &http.Transport{}},
+		Pause: pause,
+	}
+}
+
+// Run runs the command that args name, without the program's name, and returns the exit code.
+func (p *Program) Run(ctx context.Context, args []string) int {
+	err := p.root().ParseAndRun(ctx, args)
+	if err == nil || errors.Is(err, flag.ErrHelp) {
+		return result.ExitOK
+	}
+	failed := asFailure(err)
+	fmt.Fprintln(p.Stderr, failed.report())
+	return failed.exit()
+}
+
+func (p *Program) root() *ffcli.Command {
+	root := p.group("tarragonpoint", "router in front of servers that own keys exclusively")
+	root.Subcommands = []*ffcli.Command{
+		p.entryCommand(),
+		p.configCommand(),
+		p.zoneCommand(),
+		p.targetCommand(),
+		p.ownerCommand(),
+		p.statusCommand(),
+		p.versionCommand(),
+	}
+	return root
+}
+
+func (p *Program) versionCommand() *ffcli.Command {
+	return p.command("version", "", "print the version of the program", p.flags("version"), func(context.Context, []string) error {
+		fmt.Fprintln(p.Stdout, p.Version)
+		return nil
+	})
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
