--- a/internal/config/patch_test.go
+++ b/internal/config/patch_test.go
@@ -84,6 +84,18 @@
 	entities[name] = entity
 }
 
+// TestSuspendedTenantMayNotMoveAndResume guards against entry VMs that serve the old class while others serve the new one.
+func TestSuspendedTenantMayNotMoveAndResume(t *testing.T) {
+	suspended := published(t).clone()
+	edit(suspended.Tenants, "acme", func(e *Tenant) { e.Suspended = true })
+	resumed := suspended.clone()
+	edit(resumed.Tenants, "acme", func(e *Tenant) { e.Suspended, e.HomeRegions = false, []model.Region{"north", "south"} })
+	patch, err := Diff(suspended, resumed, "ben")
+	require.NoError(t, err)
+	_, err = Apply(suspended, 2, patch)
+	assert.True(t, ErrInvalid == typeOf(err), "%v", err)
+}
+
 // TestConflictCarriesBothVersions guards against a conflict that the operator cannot resolve.
 func TestConflictCarriesBothVersions(t *testing.T) {
 	state := published(t)
@@ -91,6 +103,8 @@
 	conflict, found := ConflictOf(errorx.Decorate(err, "publish"))
 	require.True(t, found)
 	assert.Equal(t, Conflict{Base: 0, InForce: 1, Author: "ana"}, conflict)
+	_, err = Apply(state, 9, record.ConfigPatch{Author: "ben", Base: 2})
+	assert.True(t, ErrConflict == typeOf(err), "a base in the future is a conflict too: %v", err)
 }
 
 // TestRacingPatches guards against folds that diverge, versions that go back, and refused patches that leave a trace. The
@@ -202,6 +216,9 @@
 	patch := record.ConfigPatch{Author: "ben", Base: 0}
 	_, err = late.Consume(record.Entry{Offset: 2, Record: record.Record{ConfigPatch: &patch}})
 	require.True(t, ErrGap == typeOf(err))
+	ahead := record.Snapshot{Covers: 3, State: snapshot.State}
+	_, err = late.Consume(record.Entry{Offset: 3, Record: record.Record{Snapshot: &ahead}})
+	require.True(t, ErrGap == typeOf(err), "a snapshot cannot cover itself")
 	_, err = late.Consume(record.Entry{Offset: 3, Record: record.Record{Snapshot: &snapshot}})
 	require.NoError(t, err)
 	assert.Equal(t, model.Offset(2), late.Next())
@@ -209,3 +226,21 @@
 	require.Error(t, late.LoadSnapshot(record.Snapshot{Covers: 8, State: []byte{0xff}}))
 	assert.Equal(t, model.Offset(2), late.Next())
 }
+
+// TestNothingGoesBack guards against records and snapshots that arrive again or late and undo newer ones.
+func TestNothingGoesBack(t *testing.T) {
+	race := newRace(t)
+	fold := race.folds[0]
+	old, err := fold.EncodeSnapshot()
+	require.NoError(t, err)
+	_, err = fold.Consume(race.stream[0])
+	require.NoError(t, err)
+	again, err := fold.Consume(race.stream[0])
+	require.NoError(t, err)
+	assert.Equal(t, Outcome{Offset: 1, ID: race.stream[0].Record.ID}, again, "a second copy has no outcome of its own")
+	require.NoError(t, fold.LoadSnapshot(old))
+	assert.Equal(t, model.Offset(1), fold.State().Version)
+	reverted := record.Snapshot{Covers: 5, State: old.State}
+	require.True(t, ErrSnapshot == typeOf(fold.LoadSnapshot(reverted)))
+	assert.Equal(t, model.Offset(1), fold.Offset())
+}
