Add logging with a prefix per part and a limit on repeated lines

Lines take only typed fields of a closed set, so bodies, keys and caller data cannot reach the log. The first 5 lines of a part and text are written, then one per 10 s with the number left out; a minute of quiet starts anew.

Ruled out: logging err.Error() by default, because decoding errors quote received data; ErrorType logs the errorx type.

--- /dev/null
+++ b/internal/logging/limiter.go
@@ -0,0 +1,77 @@
+package logging
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// freeRepeats is the number of lines of one key that are written without limit.
+	freeRepeats = 5
+	// repeatInterval is the time between two lines of one key after the first freeRepeats.
+	repeatInterval = 10 * time.Second
+	// quietReset is the time without a line of a key after which it counts as new again.
+	quietReset = time.Minute
+	// maxKeys bounds the memory of the limiter, in keys. Texts are constants, so a program stays far below it.
+	maxKeys = 4096
+)
+
+type lineKey struct {
+	part Part
+	text string
+}
+
+type repeats struct {
+	written    int
+	suppressed int
+	lastLine   time.Time
+	lastSeen   time.Time
+}
+
+// limiter limits lines with the same key.
+type limiter struct {
+	mu   sync.Mutex
+	now  func() time.Time
+	keys map[lineKey]*repeats
+}
+
+func newLimiter(now func() time.Time) *limiter {
+	return &limiter{now: now, keys: map[lineKey]*repeats{}}
+}
+
+// allow reports whether a line may be written, and how many lines of its key were left out since the last one.
+func (l *limiter) allow(key lineKey) (suppressed int, allowed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	state := l.state(key)
+	if now.Sub(state.lastSeen) >= quietReset {
+		state.written = 0
+	}
+	state.lastSeen = now
+	if state.written >= freeRepeats && now.Sub(state.lastLine) < repeatInterval {
+		state.suppressed++
+		return 0, false
+	}
+	suppressed = state.suppressed
+	state.written++
+	state.suppressed = 0
+	state.lastLine = now
+	return suppressed, true
+}
+
+// state returns the counters of a key. Keys beyond maxKeys share one entry.
+func (l *limiter) state(key lineKey) *repeats {
+	if state, found := l.keys[key]; found {
+		return state
+	}
+	if len(l.keys) >= maxKeys {
+		key = lineKey{}
+		if state, found := l.keys[key]; found {
+			return state
+		}
+	}
+	state := &repeats{}
+	l.keys[key] = state
+	return state
+}
--- /dev/null
+++ b/internal/logging/logging_test.go
@@ -0,0 +1,51 @@
+package logging
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+)
+
+// A fault that repeats thousands of times a second must neither fill the log nor go unnoticed.
+func TestRepeatedLinesAreLimitedAndCounted(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var out bytes.Buffer
+	log, err := New(Settings{Level: "info", Output: &out, Now: func() time.Time { return now }})
+	require.NoError(t, err)
+	peer := log.Part(Peer)
+	for range 100 {
+		peer.Warn("connection refused")
+	}
+	require.Equal(t, freeRepeats, strings.Count(out.String(), "peer: connection refused"))
+	log.Part(Lease).Warn("connection refused")
+	require.Contains(t, out.String(), "lease: connection refused", "another part has its own limit")
+	out.Reset()
+	now = now.Add(repeatInterval)
+	peer.Warn("connection refused")
+	peer.Warn("connection refused")
+	require.Equal(t, 1, strings.Count(out.String(), "\n"))
+	require.Contains(t, out.String(), "suppressed=95")
+}
+
+// An error message can quote a caller's data; only its type may reach the log.
+func TestErrorTypeLeavesOutTheMessage(t *testing.T) {
+	var out bytes.Buffer
+	log, err := New(Settings{Level: "info", Output: &out})
+	require.NoError(t, err)
+	_, parseErr := model.ParseRequestID("secret")
+	log.Part(Front).Info("refused", ErrorType(parseErr), ErrorType(errors.New("secret")))
+	require.NotContains(t, out.String(), "secret")
+}
+
+// A mistyped level must be reported at start instead of silencing the log.
+func TestUnknownLevel(t *testing.T) {
+	_, err := New(Settings{Level: "lots"})
+	require.True(t, errorx.IsOfType(err, ErrLevel))
+}
