Add the peer transport over authenticated WebSocket connections

One connection per ordered pair of VMs: directions fail and recover independently, and simultaneous dials need no tie-break. Messages travel in chunks of 32 KiB in three priorities, so that heartbeats and pings do not wait behind an 8 MiB body.

Ruled out: sending whole messages as one frame, because 8 MiB take 2.2 s at 30 Mbit/s and delay pings and heartbeats beyond their limits; keeping queues across connections, because a request would then run long after it was sent.

--- /dev/null
+++ b/internal/peer/codec.go
@@ -0,0 +1,85 @@
+package peer
+
+import (
+	"reflect"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/message"
+)
+
+// Limits on what a peer may make this process decode.
+const (
+	maxNesting       = 16
+	maxArrayElements = 1 << 17
+	maxMapPairs      = 1 << 10
+)
+
+var (
+	encoding = mustEncoding()
+	decoding = mustDecoding()
+)
+
+func mustEncoding() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic("peer: invalid CBOR options: " + err.Error())
+	}
+	return mode
+}
+
+// mustDecoding leaves unknown fields of a known message alone, so that a field can be added while VMs are replaced one by
+// one. A message of unknown kind is refused in decodeMessage.
+func mustDecoding() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+		MaxNestedLevels:  maxNesting,
+		MaxArrayElements: maxArrayElements,
+		MaxMapPairs:      maxMapPairs,
+	}.DecMode()
+	if err != nil {
+		panic("peer: invalid CBOR options: " + err.Error())
+	}
+	return mode
+}
+
+// encodeMessage returns ErrMalformed for a message of no or several kinds and ErrTooLarge above MaxMessageBytes.
+func encodeMessage(m message.Message) ([]byte, error) {
+	if kinds(m) != 1 {
+		return nil, ErrMalformed.New("a message has %d kinds, want 1", kinds(m))
+	}
+	data, err := encoding.Marshal(m)
+	if err != nil {
+		return nil, ErrMalformed.Wrap(err, "cannot encode a message")
+	}
+	if len(data) > MaxMessageBytes {
+		return nil, ErrTooLarge.New("a message has %d bytes, want at most %d", len(data), MaxMessageBytes)
+	}
+	return data, nil
+}
+
+// decodeMessage returns ErrMalformed for anything but one message of known kind.
+func decodeMessage(data []byte) (message.Message, error) {
+	var m message.Message
+	if err := decoding.Unmarshal(data, &m); err != nil {
+		return message.Message{}, ErrMalformed.Wrap(err, "cannot decode a message")
+	}
+	if kinds(m) != 1 {
+		return message.Message{}, ErrMalformed.New("a message has %d known kinds, want 1", kinds(m))
+	}
+	return m, nil
+}
+
+// kinds returns how many pointers of a message are set.
+func kinds(m message.Message) int {
+	set := 0
+	fields := reflect.ValueOf(m)
+	for i := range fields.NumField() {
+		if !fields.Field(i).IsNil() {
+			set++
+		}
+	}
+	return set
+}
--- /dev/null
+++ b/internal/peer/faults.go
@@ -0,0 +1,36 @@
+package peer
+
+import (
+	"io"
+	"log"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/logging"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/result"
+)
+
+// reportFault counts and logs why a connection ended or did not come about. The VM ID is empty before authentication, because
+// until then it is only a claim.
+func reportFault(settings *Settings, vm model.VMID, err error) {
+	fields := faultFields(vm, err)
+	switch {
+	case isType(err, ErrUnauthenticated):
+		settings.Count(Unauthenticated)
+		settings.Log.Warn("connection refused: authentication failed", append(fields, logging.Code(result.PeerUnauthenticated))...)
+	case isType(err, ErrMalformed):
+		settings.Count(Malformed)
+		settings.Log.Warn("connection closed: malformed message", append(fields, logging.Code(result.PeerMalformed))...)
+	case isType(err, ErrSilent):
+		settings.Count(Silent)
+		settings.Log.Warn("connection closed: silent", append(fields, logging.Code(result.PeerUnavailable))...)
+	default:
+		settings.Log.Info("connection ended", append(fields, logging.Code(result.PeerUnavailable))...)
+	}
+}
+
+func faultFields(vm model.VMID, err error) []logging.Field {
+	return []logging.Field{logging.VM(vm), logging.ErrorType(err)}
+}
+
+// discardHTTPLog drops the lines of net/http, which quote received data. Faults of connections are counted here instead.
+func discardHTTPLog() *log.Logger { return log.New(io.Discard, "", 0) }
--- /dev/null
+++ b/internal/peer/websocket.go
@@ -0,0 +1,272 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/kernel"
+	"github.com/tarragonpoint/tarragonpoint/internal/message"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+)
+
+// WebSocketID is the ID of the plug-in.
+const WebSocketID kernel.ID = "peer.websocket"
+
+func init() {
+	kernel.Register(WebSocketID, func() any { return &WebSocket{} })
+}
+
+// WebSocket is the Transport over WebSocket with CBOR.
+//
+// There is one connection for each ordered pair of VMs: each side dials the peers it sends to and only receives on what it
+// accepts. The directions thus fail and recover independently, no rule is needed for which of two simultaneous dials
+// survives, and one key serves one direction.
+//
+// A connection has its own queues. What is still queued or under way when it ends is lost, and Send returns ErrUnavailable until the next
+// one is authenticated. Messages of equal priority arrive in the order in which they were sent on one connection.
+type WebSocket struct {
+	// Filter simulates a one-way cut in tests: a message for which it returns false is dropped as if the network had lost it, and
+	// Send still returns nil. It must be set before Start and be safe for concurrent use; nil passes everything.
+	Filter func(from, to model.VMID, outgoing message.Message) bool
+
+	settings Settings
+	handler  Handler
+	client   *http.Client
+	dials    chan struct{}
+	listener net.Listener
+	server   *http.Server
+	cancel   context.CancelFunc
+	running  sync.WaitGroup
+
+	mu       sync.Mutex
+	ctx      context.Context
+	links    map[model.VMID]*link
+	peers    map[model.VMID]string
+	stopping bool
+}
+
+var _ Transport = (*WebSocket)(nil)
+
+// New returns a transport outside of a kernel host. It returns ErrSettings if the settings are invalid.
+func New(settings Settings) (*WebSocket, error) {
+	w := &WebSocket{}
+	w.configure(settings)
+	return w, w.Validate()
+}
+
+// Provision takes the settings from the host, which must implement Host.
+func (w *WebSocket) Provision(host any) error {
+	provider, ok := host.(Host)
+	if !ok {
+		return ErrSettings.New("the host has no settings for peers")
+	}
+	w.configure(provider.PeerSettings())
+	return nil
+}
+
+func (w *WebSocket) configure(settings Settings) {
+	settings.setDefaults()
+	w.settings = settings
+	w.links = map[model.VMID]*link{}
+}
+
+// Validate returns ErrSettings if settings are missing or wrong.
+func (w *WebSocket) Validate() error { return w.settings.validate() }
+
+// SetHandler sets the receiver of messages. It must be called before Start.
+func (w *WebSocket) SetHandler(handler Handler) { w.handler = handler }
+
+// Start listens and connects until ctx ends. It returns ErrSettings if there is no handler and ErrUnavailable if the address
+// cannot be listened on.
+func (w *WebSocket) Start(ctx context.Context) error {
+	if w.handler == nil {
+		return ErrSettings.New("no handler for messages")
+	}
+	listener, err := net.Listen("tcp", w.settings.Listen)
+	if err != nil {
+		return ErrUnavailable.Wrap(err, "cannot listen on %s", w.settings.Listen)
+	}
+	ctx, w.cancel = context.WithCancel(ctx)
+	w.listener = listener
+	w.client = newDialClient()
+	w.dials = make(chan struct{}, w.settings.MaxDials)
+	w.serve(ctx)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ctx = ctx
+	w.applyPeers()
+	return nil
+}
+
+// Address returns the address that Start listens on, host:port.
+func (w *WebSocket) Address() string { return w.listener.Addr().String() }
+
+func (w *WebSocket) serve(ctx context.Context) {
+	accepting := newAcceptor(&w.settings, w.handler)
+	mux := http.NewServeMux()
+	mux.HandleFunc(peerPath, func(rw http.ResponseWriter, r *http.Request) {
+		if !w.beginConnection(ctx) {
+			return
+		}
+		defer w.running.Done()
+		accepting.ServeHTTP(rw, r)
+	})
+	w.server = &http.Server{
+		Handler:           mux,
+		ReadHeaderTimeout: w.settings.HandshakeTimeout,
+		IdleTimeout:       w.settings.HandshakeTimeout,
+		MaxHeaderBytes:    maxUpgradeHeaderBytes,
+		BaseContext:       func(net.Listener) context.Context { return ctx },
+		ErrorLog:          discardHTTPLog(),
+	}
+	w.running.Add(2)
+	go func() {
+		defer w.running.Done()
+		w.server.Serve(w.listener)
+	}()
+	go func() {
+		defer w.running.Done()
+		<-ctx.Done()
+		w.server.Close()
+	}()
+}
+
+// beginConnection counts an accepted connection as running unless the transport has ended. Checking and counting under mu keeps
+// a connection from starting while Stop already waits.
+func (w *WebSocket) beginConnection(ctx context.Context) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if ctx.Err() != nil {
+		return false
+	}
+	w.running.Add(1)
+	return true
+}
+
+// SetPeers replaces the addresses of the known peers. Connections to removed peers are closed.
+func (w *WebSocket) SetPeers(peers map[model.VMID]string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.peers = make(map[model.VMID]string, len(peers))
+	for id, address := range peers {
+		if id != w.settings.Self {
+			w.peers[id] = address
+		}
+	}
+	if w.ctx != nil && !w.stopping {
+		w.applyPeers()
+	}
+}
+
+// applyPeers makes the links match the peers. The caller holds mu.
+func (w *WebSocket) applyPeers() {
+	for id, l := range w.links {
+		if w.peers[id] != l.address {
+			l.cancel()
+			delete(w.links, id)
+		}
+	}
+	for id, address := range w.peers {
+		if w.links[id] == nil {
+			w.links[id] = w.startLink(id, address)
+		}
+	}
+}
+
+func (w *WebSocket) startLink(id model.VMID, address string) *link {
+	ctx, cancel := context.WithCancel(w.ctx)
+	l := &link{peer: id, address: address, settings: &w.settings, dials: w.dials, client: w.client, cancel: cancel,
+		ended: make(chan struct{})}
+	w.running.Add(1)
+	go func() {
+		defer w.running.Done()
+		defer close(l.ended)
+		defer cancel()
+		l.run(ctx)
+	}()
+	return l
+}
+
+// Send queues one message. It does not block. ErrUnavailable means that it will not arrive; ErrTooLarge and ErrMalformed report
+// a message that cannot be sent at all.
+func (w *WebSocket) Send(to model.VMID, outgoing message.Message) error {
+	s := w.session(to)
+	if s == nil {
+		return ErrUnavailable.New("no connection to %s", to)
+	}
+	data, err := encodeMessage(outgoing)
+	if err != nil {
+		return err
+	}
+	if w.Filter != nil && !w.Filter(w.settings.Self, to, outgoing) {
+		return nil
+	}
+	waiting := &queued{data: data}
+	if outgoing.Forward != nil && outgoing.Forward.Timeout > 0 {
+		waiting.expires = time.Now().Add(outgoing.Forward.Timeout)
+	}
+	err = s.queue.push(priorityOf(outgoing), waiting)
+	if isType(err, errQueueFull) {
+		w.settings.Count(QueueFull)
+		w.settings.Log.Warn("queue full", faultFields(to, err)...)
+	}
+	return err
+}
+
+func (w *WebSocket) session(to model.VMID) *session {
+	w.mu.Lock()
+	l := w.links[to]
+	w.mu.Unlock()
+	if l == nil {
+		return nil
+	}
+	return l.current()
+}
+
+// Stop refuses further messages, sends what is queued and closes all connections. It returns ErrUnavailable if ctx ends first; the
+// connections are then closed at once.
+func (w *WebSocket) Stop(ctx context.Context) error {
+	if w.cancel == nil {
+		return nil
+	}
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		w.drainLinks()
+	}()
+	var err error
+	select {
+	case <-sent:
+	case <-ctx.Done():
+		err = ErrUnavailable.Wrap(ctx.Err(), "connections were closed before their queues were empty")
+	}
+	w.mu.Lock()
+	w.cancel()
+	w.mu.Unlock()
+	w.running.Wait()
+	<-sent
+	return err
+}
+
+// drainLinks ends all links and returns when the last one has ended.
+func (w *WebSocket) drainLinks() {
+	w.mu.Lock()
+	w.stopping = true
+	links := w.links
+	w.links = map[model.VMID]*link{}
+	w.mu.Unlock()
+	for _, l := range links {
+		l.stop()
+	}
+	for _, l := range links {
+		<-l.ended
+	}
+}
+
+func errorsIsTooBig(err error) bool { return errors.Is(err, websocket.ErrMessageTooBig) }
