Add the HTTP front for callers and operators

Memory for bodies is reserved as they arrive, from a total for the process. A stop turns readiness off, ends each connection after its next answer, waits for the drain delay and then for running requests.

Paths with dot segments and the targets' command path /tarragon are refused, since a caller could otherwise send lease commands to targets.

Ruled out: reserving the announced length of a body, because 37 callers that announce 7 MiB and send nothing would take all memory; http.Server.SetKeepAlivesEnabled, because it closes idle connections on which a request may be on its way.

--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,180 @@
+package front
+
+import (
+	"context"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/joomcode/errorx"
+	"golang.org/x/sync/semaphore"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/kernel"
+	"github.com/tarragonpoint/tarragonpoint/internal/result"
+)
+
+// HTTPID is the ID of the plug-in.
+const HTTPID kernel.ID = "front.http"
+
+func init() {
+	kernel.Register(HTTPID, func() any { return &Front{} })
+}
+
+// Front serves callers and operators over HTTP.
+type Front struct {
+	settings Settings
+	memory   *semaphore.Weighted
+	draining atomic.Bool
+	callers  endpoint
+	admin    endpoint
+}
+
+// endpoint is one listener with its server.
+type endpoint struct {
+	listener net.Listener
+	server   *http.Server
+	running  sync.WaitGroup
+}
+
+// New returns a front outside of a kernel host. It returns ErrSettings if the settings are invalid.
+func New(settings Settings) (*Front, error) {
+	f := &Front{}
+	f.configure(settings)
+	return f, f.Validate()
+}
+
+// Provision takes the settings from the host, which must implement Host.
+func (f *Front) Provision(host any) error {
+	provider, ok := host.(Host)
+	if !ok {
+		return ErrSettings.New("the host has no settings for the front")
+	}
+	f.configure(provider.FrontSettings())
+	return nil
+}
+
+func (f *Front) configure(settings Settings) {
+	settings.setDefaults()
+	f.settings = settings
+	f.memory = semaphore.NewWeighted(settings.MaxBufferedBytes)
+}
+
+// Validate returns ErrSettings if settings are missing or wrong.
+func (f *Front) Validate() error { return f.settings.validate() }
+
+// Start listens on both addresses. It returns ErrListen if one cannot be listened on.
+func (f *Front) Start(context.Context) error {
+	callers, err := net.Listen("tcp", f.settings.Listen)
+	if err != nil {
+		return ErrListen.Wrap(err, "cannot listen on %s", f.settings.Listen)
+	}
+	admin, err := net.Listen("tcp", f.settings.AdminListen)
+	if err != nil {
+		callers.Close()
+		return ErrListen.Wrap(err, "cannot listen on %s", f.settings.AdminListen)
+	}
+	f.callers.start(newLimitedListener(callers, f.settings.MaxConnections), f.newServer(f.callerRoutes()))
+	f.admin.start(admin, f.newServer(f.adminRoutes()))
+	return nil
+}
+
+// newServer sets no WriteTimeout, as that would include the time in which the target works; writeAnswer limits the writing.
+func (f *Front) newServer(routes http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           routes,
+		ReadHeaderTimeout: f.settings.ReadHeaderTimeout,
+		IdleTimeout:       f.settings.IdleTimeout,
+		MaxHeaderBytes:    f.settings.MaxHeaderBytes,
+		// net/http quotes received data in its lines.
+		ErrorLog: log.New(io.Discard, "", 0),
+	}
+}
+
+func (f *Front) callerRoutes() http.Handler {
+	routes := chi.NewRouter()
+	f.addHealth(routes)
+	routes.Handle("/v1/{service}/*", http.HandlerFunc(f.serveRequest))
+	routes.NotFound(f.serveUnknown)
+	routes.MethodNotAllowed(f.serveUnknown)
+	return routes
+}
+
+func (f *Front) adminRoutes() http.Handler {
+	routes := chi.NewRouter()
+	f.addHealth(routes)
+	if f.settings.Metrics != nil {
+		routes.Method(http.MethodGet, "/metrics", f.settings.Metrics)
+	}
+	if f.settings.Admin != nil {
+		routes.Mount("/admin", f.settings.Admin)
+	}
+	return routes
+}
+
+func (f *Front) addHealth(routes chi.Router) {
+	routes.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	routes.Get("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if f.draining.Load() || !f.settings.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+}
+
+// serveUnknown answers paths and methods that the API does not have.
+func (f *Front) serveUnknown(w http.ResponseWriter, r *http.Request) {
+	e := exchange{front: f, w: w, r: r}
+	e.leaveBody()
+	f.writeAnswer(w, r, parsed{}, refuse(result.BadRequest, parsed{}, false), "no such path or method")
+}
+
+// Address returns the address for callers, host:port.
+func (f *Front) Address() string { return f.callers.listener.Addr().String() }
+
+// AdminAddress returns the address for operators, host:port.
+func (f *Front) AdminAddress() string { return f.admin.listener.Addr().String() }
+
+// Drain makes /readyz report 503 and ends each connection after its next answer. Requests are still served. Idle connections
+// stay open until Stop, because a request may already be on its way on them.
+func (f *Front) Drain() { f.draining.Store(true) }
+
+// Stop drains, waits for the drain delay, stops listening and waits for running requests. It returns ErrDrain if ctx ends first;
+// the connections are then closed.
+func (f *Front) Stop(ctx context.Context) error {
+	f.Drain()
+	delay := time.NewTimer(f.settings.DrainDelay)
+	defer delay.Stop()
+	select {
+	case <-delay.C:
+	case <-ctx.Done():
+	}
+	err := f.callers.stop(ctx)
+	return errorx.DecorateMany("stop", err, f.admin.stop(ctx))
+}
+
+func (p *endpoint) start(listener net.Listener, server *http.Server) {
+	p.listener = listener
+	p.server = server
+	p.running.Go(func() { server.Serve(listener) })
+}
+
+func (p *endpoint) stop(ctx context.Context) error {
+	if p.server == nil {
+		return nil
+	}
+	err := p.server.Shutdown(ctx)
+	if err != nil {
+		p.server.Close()
+		err = ErrDrain.Wrap(err, "requests were still running")
+	}
+	p.running.Wait()
+	return err
+}
+
+func errorIs(err error, kind *errorx.Type) bool { return errorx.IsOfType(err, kind) }
--- /dev/null
+++ b/internal/front/headers.go
@@ -0,0 +1,46 @@
+package front
+
+import (
+	"net/http"
+	"strings"
+)
+
+// hopByHop are the headers that concern one connection only. They are not passed on in either direction.
+var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te",
+	"Trailer", "Transfer-Encoding", "Upgrade"}
+
+// endToEnd returns a copy of a header without hop-by-hop headers, Tarragon headers and those that describe the length, which is
+// set anew.
+func endToEnd(header http.Header) http.Header {
+	copied := make(http.Header, len(header))
+	for name, values := range header {
+		if !strings.HasPrefix(http.CanonicalHeaderKey(name), headerPrefix) {
+			copied[name] = append([]string(nil), values...)
+		}
+	}
+	for _, value := range header.Values("Connection") {
+		for name := range strings.SplitSeq(value, ",") {
+			copied.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		copied.Del(name)
+	}
+	copied.Del("Content-Length")
+	return copied
+}
+
+// requestHeader returns the header for the target. Tenant, key and request ID are set from the parsed values, so that a caller
+// cannot remove them by naming them in Connection.
+func requestHeader(r *http.Request, p parsed) http.Header {
+	header := endToEnd(r.Header)
+	header.Del("Expect")
+	header.Set(HeaderTenant, string(p.preview.Tenant))
+	if p.preview.Key != "" {
+		header.Set(HeaderKey, p.preview.Key)
+	}
+	if p.preview.RequestID != nil {
+		header.Set(HeaderRequestID, p.preview.RequestID.String())
+	}
+	return header
+}
--- /dev/null
+++ b/internal/front/listener.go
@@ -0,0 +1,52 @@
+package front
+
+import (
+	"net"
+	"sync"
+)
+
+// limitedListener accepts a connection only while fewer than the limit are open. Further callers wait in the kernel's queue.
+type limitedListener struct {
+	net.Listener
+	slots  chan struct{}
+	closed chan struct{}
+	once   sync.Once
+}
+
+func newLimitedListener(inner net.Listener, limit int) *limitedListener {
+	return &limitedListener{Listener: inner, slots: make(chan struct{}, limit), closed: make(chan struct{})}
+}
+
+// Accept waits for a free slot and a connection. It returns net.ErrClosed after Close.
+func (l *limitedListener) Accept() (net.Conn, error) {
+	select {
+	case l.slots <- struct{}{}:
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		<-l.slots
+		return nil, err
+	}
+	return &limitedConn{Conn: conn, release: func() { <-l.slots }}, nil
+}
+
+// Close stops accepting. Open connections stay open.
+func (l *limitedListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+type limitedConn struct {
+	net.Conn
+	release func()
+	once    sync.Once
+}
+
+// Close closes the connection and frees its slot.
+func (c *limitedConn) Close() error {
+	err := c.Conn.Close()
+	c.once.Do(c.release)
+	return err
+}
