Count silent connections on the accepting side during the handshake too

A connection that never authenticates was closed after the handshake timeout, but neither counted nor logged, because the read error hid the cause. Adds tests for it, for silence after the handshake and for the largest message.

--- a/internal/peer/acceptor.go
+++ b/internal/peer/acceptor.go
@@ -126,7 +126,7 @@
 		silence.Reset(a.settings.SilenceLimit)
 		kind, frame, err := in.conn.Read(ctx)
 		if err != nil {
-			return readError(ctx, err)
+			return readError(err)
 		}
 		if kind != websocket.MessageBinary {
 			return ErrMalformed.New("a text frame")
@@ -156,10 +156,7 @@
 }
 
 // readError returns nil for a regular end of the connection.
-func readError(ctx context.Context, err error) error {
-	if cause := context.Cause(ctx); isType(cause, ErrSilent) {
-		return cause
-	}
+func readError(err error) error {
 	switch websocket.CloseStatus(err) {
 	case websocket.StatusNormalClosure, websocket.StatusGoingAway:
 		return nil
@@ -189,6 +186,9 @@
 
 // finish closes the connection. A refused peer gets a close status without details.
 func (a *acceptor) finish(ctx context.Context, in *inbound, err error) {
+	if cause := context.Cause(ctx); err != nil && isType(cause, ErrSilent) {
+		err = cause
+	}
 	if err != nil && ctx.Err() == nil || isType(err, ErrSilent) {
 		reportFault(a.settings, in.from, err)
 	}
--- a/internal/peer/websocket_test.go
+++ b/internal/peer/websocket_test.go
@@ -79,6 +79,36 @@
 	}
 }
 
+// A peer that was lost without closing its connection, and a caller that never authenticates, must not hold a connection.
+func TestAcceptedSilentConnectionsAreClosed(t *testing.T) {
+	b := startNode(t, "b", testKey(1))
+	client := newDialClient()
+	unproven, _, err := websocket.Dial(context.Background(), "ws://"+b.Address()+peerPath, &websocket.DialOptions{HTTPClient: client})
+	require.NoError(t, err)
+	defer unproven.CloseNow()
+	b.await(t, Silent)
+	dialRaw(t, b, "a", testKey(1))
+	b.await(t, Silent)
+}
+
+// The largest message must pass together with an urgent one; which arrives first depends on the scheduler.
+func TestLargestMessagePasses(t *testing.T) {
+	a := startNode(t, "a", testKey(1))
+	b := startNode(t, "b", testKey(1))
+	a.SetPeers(map[model.VMID]string{"b": b.Address()})
+	a.await(t, Connected)
+	const encodingBytes = 256
+	body := make([]byte, MaxMessageBytes-encodingBytes)
+	require.NoError(t, a.Send("b", message.Message{Forward: &message.Forward{Body: body}}))
+	require.NoError(t, a.Send("b", heartbeat(1)))
+	first, second := b.next(t).m, b.next(t).m
+	if first.Heartbeat == nil {
+		first, second = second, first
+	}
+	require.NotNil(t, first.Heartbeat)
+	require.Len(t, second.Forward.Body, len(body))
+}
+
 // Stop must not lose what Send accepted, and must end within its context.
 func TestStopSendsWhatIsQueued(t *testing.T) {
 	a := startNode(t, "a", testKey(1))
