Carry the fence in revocations

A lessor leaves a slot that it is about to move out of the grants, so the target no longer held the slot when the revocation came and noted fence 0. A member with an older fold then granted the slot under its old fence. Ruled out: keeping the slot in the grants until the move is folded (the window between renewal and revocation stays open when messages are reordered). The revocation now names the fence; the stand-in also refuses a split key under its hash slot, ignores renewals whose grants version it does not have, and lists refused slots.

--- a/internal/config/patch_test.go
+++ b/internal/config/patch_test.go
@@ -86,9 +86,9 @@
 
 // TestSuspendedTenantMayNotMoveAndResume guards against entry VMs that serve the old class while others serve the new one.
 func TestSuspendedTenantMayNotMoveAndResume(t *testing.T) {
-	suspended := published(t).clone()
+	suspended := published(t).Clone()
 	edit(suspended.Tenants, "acme", func(e *Tenant) { e.Suspended = true })
-	resumed := suspended.clone()
+	resumed := suspended.Clone()
 	edit(resumed.Tenants, "acme", func(e *Tenant) { e.Suspended, e.HomeRegions = false, []model.Region{"north", "south"} })
 	patch, err := Diff(suspended, resumed, "ben")
 	require.NoError(t, err)
--- a/internal/control/moves.go
+++ b/internal/control/moves.go
@@ -108,15 +108,15 @@
 	if state.revokeInflight || n.now < state.revokeAt {
 		return
 	}
-	slots := pendingSlots(state)
+	slots := n.pendingSlots(state)
 	if len(slots) == 0 {
 		return
 	}
 	n.sequence++
 	state.revokeSequence = n.sequence
 	state.revokeInflight = true
-	for _, slot := range slots {
-		state.moves[slot].sentIn = n.sequence
+	for _, revoked := range slots {
+		state.moves[revoked.Slot].sentIn = n.sequence
 	}
 	n.emit(Revoke{
 		Target:   state.id,
@@ -126,11 +126,12 @@
 	})
 }
 
-func pendingSlots(state *targetState) []model.Slot {
-	var slots []model.Slot
+func (n *Node) pendingSlots(state *targetState) []target.SlotFence {
+	var slots []target.SlotFence
 	for _, slot := range sortedSlots(state.moves) {
 		if !state.moves[slot].revoked {
-			slots = append(slots, slot)
+			fence := model.Fence(n.assign.state.Slots[slot].Epoch)
+			slots = append(slots, target.SlotFence{Slot: slot, Fence: fence})
 		}
 	}
 	return slots
--- a/internal/platform/watermill_test.go
+++ b/internal/platform/watermill_test.go
@@ -1,5 +1,3 @@
-//go:build watermill
-
 package platform_test
 
 import (
--- a/internal/proof/target_test.go
+++ b/internal/proof/target_test.go
@@ -118,12 +118,8 @@
 	t.term = r.Term
 	reply.Term = r.Term
 	reply.Accepted = true
-	for _, slot := range r.Slots {
-		if fence, ok := t.granted[slot]; ok {
-			t.refused[slot] = max(t.refused[slot], fence)
-		} else {
-			t.refused[slot] = max(t.refused[slot], 0)
-		}
+	for _, revoked := range r.Slots {
+		t.refused[revoked.Slot] = max(t.refused[revoked.Slot], revoked.Fence)
 	}
 	return reply
 }
--- a/internal/standin/lease.go
+++ b/internal/standin/lease.go
@@ -16,6 +16,8 @@
 	grants  map[string]target.Grant
 	// revoked holds the highest fence of each slot that was taken away; a grant must exceed it.
 	revoked map[string]model.Fence
+	// refused lists the slots of the last grants that were left out because they are revoked.
+	refused []model.Slot
 }
 
 func newLease() lease {
@@ -32,6 +34,9 @@
 	if err != nil {
 		return false
 	}
+	if _, revoked := l.revoked[splitName(slot, keyHash)]; revoked {
+		return false
+	}
 	for _, excluded := range grant.Excluded {
 		if excluded == hash {
 			return false
@@ -44,10 +49,12 @@
 // come from a delayed message.
 func (l *lease) take(request target.RenewRequest) {
 	grants := make(map[string]target.Grant, len(request.Grants))
+	l.refused = nil
 	for _, grant := range request.Grants {
 		slot := grant.Slot.String()
 		present, granted := l.grants[slot]
 		if revoked, found := l.revoked[slot]; found && grant.Fence <= revoked {
+			l.refused = append(l.refused, grant.Slot)
 			continue
 		}
 		if granted && grant.Fence < present.Fence {
@@ -64,13 +71,16 @@
 	l.grants, l.version = grants, request.GrantsVersion
 }
 
-func (l *lease) revoke(slot string) {
-	if grant, granted := l.grants[slot]; granted {
-		l.revoked[slot] = max(l.revoked[slot], grant.Fence)
+func (l *lease) revoke(slot string, fence model.Fence) {
+	l.revoked[slot] = max(l.revoked[slot], fence)
+	if grant, granted := l.grants[slot]; granted && grant.Fence <= fence {
 		delete(l.grants, slot)
 	}
 }
 
+// splitName is the name of the slot that holds only the key with the given hash.
+func splitName(slot, keyHash string) string { return slot + "/" + keyHash }
+
 // acceptsTerm reports whether a command with the term is obeyed. The mutex is held.
 func (t *Target) acceptsTerm(term model.Term) bool {
 	return t.options.Unchecked || !term.Less(t.lease.term)
@@ -94,7 +104,9 @@
 	if reply.Accepted {
 		t.lease.term = request.Term
 		// A renewal that was held up, or was meant for an older process, extends nothing.
-		if request.Incarnation == t.incarnation && request.ValidUntil > now {
+		// A lease must not extend grants that the lessor did not name.
+		named := request.HasGrants || request.GrantsVersion == t.lease.version
+		if request.Incarnation == t.incarnation && request.ValidUntil > now && named {
 			t.lease.until = max(t.lease.until, request.ValidUntil)
 			if request.HasGrants {
 				t.lease.take(request)
@@ -106,6 +118,7 @@
 	reply.Incarnation = t.incarnation
 	reply.Clock = now
 	reply.GrantsVersion = t.lease.version
+	reply.Revoked = t.lease.refused
 	reply.Cold = t.cold
 	reply.Draining = t.drain
 	reply.Load = t.reportedLoad()
@@ -128,9 +141,9 @@
 	reply := target.RevokeReply{Accepted: t.acceptsTerm(request.Term), Incarnation: t.incarnation}
 	if reply.Accepted {
 		t.lease.term = request.Term
-		for _, slot := range request.Slots {
-			t.lease.revoke(slot.String())
-			reply.Running += t.runningFor(slot.String())
+		for _, revoked := range request.Slots {
+			t.lease.revoke(revoked.Slot.String(), revoked.Fence)
+			reply.Running += t.runningFor(revoked.Slot.String())
 		}
 	}
 	reply.Term = t.lease.term
--- a/internal/standin/target_test.go
+++ b/internal/standin/target_test.go
@@ -110,7 +110,7 @@
 	r := newRig(t, standin.TargetOptions{})
 	term := model.Term{Epoch: 1}
 	r.grant(t, term, 5)
-	revoked, err := r.client.Revoke(context.Background(), r.address, target.RevokeRequest{Term: term, Slots: []model.Slot{slot}})
+	revoked, err := r.client.Revoke(context.Background(), r.address, target.RevokeRequest{Term: term, Slots: []target.SlotFence{{Slot: slot, Fence: 5}}})
 	require.NoError(t, err)
 	require.True(t, revoked.Accepted)
 	r.grant(t, term, 5)
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -112,13 +112,21 @@
 
 // RevokeRequest takes slots from a target.
 type RevokeRequest struct {
-	Lessor model.VMID   `json:"lessor"`
-	Term   model.Term   `json:"term"`
-	Slots  []model.Slot `json:"slots"`
+	Lessor model.VMID  `json:"lessor"`
+	Term   model.Term  `json:"term"`
+	Slots  []SlotFence `json:"slots"`
 }
 
-// RevokeReply answers a revocation. A target that revoked a split slot refuses its key under the hash slot too. The slots are free when Accepted is true and Running is 0; the target refuses new
-// requests for them from its first answer on, and keeps refusing until it is granted a higher fence.
+// SlotFence names a slot and the highest fence under which the target must refuse it. The target may not hold the slot any
+// more when the revocation arrives, so it cannot know the fence by itself.
+type SlotFence struct {
+	Slot  model.Slot  `json:"slot"`
+	Fence model.Fence `json:"fence"`
+}
+
+// RevokeReply answers a revocation. The slots are free when Accepted is true and Running is 0; the target refuses new
+// requests for them from its first answer on, and keeps refusing until it is granted a higher fence. A target that revoked
+// a split slot refuses its key under the hash slot too.
 type RevokeReply struct {
 	Accepted    bool              `json:"accepted"`
 	Term        model.Term        `json:"term"`
