Add the load model that measures the policies in virtual time

Cause: the policies need figures for imbalance, churn, unavailable time, zone moves and tail latency. Ruled out: load on real processes, whose figures change from run to run. The link between regions is modeled, as random choice would otherwise look free.

--- /dev/null
+++ b/cmd/bench/main.go
@@ -0,0 +1,66 @@
+// Command bench prints the policy figures of docs/POLICY.md. It runs in virtual time and opens no connection.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/bench"
+)
+
+func main() {
+	seed := flag.Uint64("seed", 1, "seed of the load")
+	variants := flag.Bool("variants", false, "compare variants of the policy instead of the baseline")
+	jsonPath := flag.String("json", "", "file for the figures as JSON")
+	only := flag.String("scenario", "", "run only this scenario")
+	flag.Parse()
+	if err := run(*seed, *variants, *jsonPath, *only); err != nil {
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		os.Exit(1)
+	}
+}
+
+func run(seed uint64, variants bool, jsonPath, only string) error {
+	stacks := []bench.Stack{bench.Baseline(), bench.Policy()}
+	if variants {
+		stacks = bench.Variants()
+	}
+	scenarios := bench.Scenarios()
+	if only != "" {
+		scenarios = pick(scenarios, only)
+	}
+	deployments := []bench.Deployment{bench.Granite(), bench.Skyframe()}
+	report, err := bench.MeasureAll(deployments, stacks, scenarios, seed)
+	if err != nil {
+		return err
+	}
+	if jsonPath != "" {
+		if err := writeJSON(report, jsonPath); err != nil {
+			return err
+		}
+	}
+	return report.WriteTable(os.Stdout)
+}
+
+func pick(scenarios []bench.Scenario, name string) []bench.Scenario {
+	for _, scenario := range scenarios {
+		if scenario.Name == name {
+			return []bench.Scenario{scenario}
+		}
+	}
+	return nil
+}
+
+func writeJSON(report bench.Report, path string) (err error) {
+	file, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if closeErr := file.Close(); err == nil {
+			err = closeErr
+		}
+	}()
+	return report.WriteJSON(file)
+}
--- /dev/null
+++ b/internal/bench/bench_test.go
@@ -0,0 +1,55 @@
+package bench
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func short() []Scenario {
+	return []Scenario{{"short", 8 * time.Second, []Fault{lose(time.Second), restart(5 * time.Second)}}}
+}
+
+func output(t *testing.T, seed uint64) string {
+	report, err := MeasureAll([]Deployment{Skyframe()}, []Stack{Baseline(), Policy()}, short(), seed)
+	require.NoError(t, err)
+	var text bytes.Buffer
+	require.NoError(t, report.WriteTable(&text))
+	require.NoError(t, report.WriteJSON(&text))
+	return text.String()
+}
+
+// Guards against figures that cannot be repeated, and against a seed without effect.
+func TestSameSeedSameOutput(t *testing.T) {
+	first := output(t, 1)
+	require.Equal(t, first, output(t, 1))
+	require.NotEqual(t, first, output(t, 2))
+}
+
+// Guards against requests that vanish: each one sent long enough ago has ended, once.
+func TestEveryRequestEnds(t *testing.T) {
+	for _, stack := range append(Variants(), Baseline()) {
+		s, err := newSim(Granite(), stack, 1)
+		require.NoError(t, err)
+		s.run(short()[0])
+		for _, l := range s.loads {
+			ended := l.refused + int(l.latency.TotalCount())
+			require.LessOrEqual(t, ended, l.sent)
+			open := float64(l.sent - ended)
+			require.LessOrEqual(t, open, l.rate()*l.spec.Deadline.Seconds()*1.2, stack.Name)
+		}
+	}
+}
+
+// Guards against a model that is off: with hardly any load, the latency is the path plus the work.
+func TestIdleLatencyIsPathPlusWork(t *testing.T) {
+	deployment := Granite()
+	deployment.Utilization = 0.02
+	runs, err := Measure(deployment, Policy(), Scenario{Name: "idle", Duration: 20 * time.Second}, 1)
+	require.NoError(t, err)
+	// 16 ms to the client and back, 0.5 ms to the target and back, and the median of the work: 20 ms * exp(-0.18).
+	require.InDelta(t, 16.5+16.7, runs[0].P50, 1.5)
+	require.InDelta(t, 1.0, runs[0].InTimePercent/100, 0.001)
+}
--- /dev/null
+++ b/internal/bench/entry.go
@@ -0,0 +1,98 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/admission"
+	"github.com/tarragonpoint/tarragonpoint/internal/balance"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/retry"
+)
+
+// entryVM is the model of one entry VM.
+type entryVM struct {
+	sim      *sim
+	id       model.VMID
+	zone     Zone
+	alive    bool
+	policy   balance.Policy
+	spill    *balance.SpillBudget
+	services map[*load]*entryService
+}
+
+// entryService is the state of one service at one entry VM.
+type entryService struct {
+	vm      *entryVM
+	load    *load
+	tracker *balance.Tracker
+	budget  *retry.Budget
+	hedger  *retry.Hedger
+	queue   *admission.Queue[*request]
+}
+
+const (
+	entryQueue    = 64
+	retryPercent  = 10
+	hedgePercent  = 5
+	ejectPercent  = 30
+	retryFloor    = 1 // retries/s
+	pollInterval  = 2 * time.Millisecond
+	shareHeadroom = 1.25
+)
+
+func (v *entryVM) addService(l *load) {
+	state := &entryService{
+		vm: v, load: l, tracker: balance.NewTracker(ejectPercent),
+		budget: retry.NewBudget(retryPercent, retryFloor, 0), hedger: retry.NewHedger(hedgePercent, 0),
+		queue: admission.NewQueue[*request](entryQueue, v.sim.vmShare(l)),
+	}
+	v.services[l] = state
+	if v.sim.stack.Queue != QueueAtTarget && !l.spec.Keyed {
+		v.sim.every(pollInterval, state.drain)
+	}
+}
+
+func (v *entryVM) choose(l *load, tried []model.TargetID) (balance.Choice, error) {
+	return v.policy.Choose(v.sim.now, l.targets, balance.View{
+		VM: v.id, Zone: v.zone.Name, Region: v.zone.Region, Concurrency: v.sim.deployment.Concurrency,
+		RequestBytes: requestBytes, Tried: tried, Tracker: v.services[l].tracker, Spill: v.spill,
+	})
+}
+
+// mustQueue reports whether a request waits here instead of at the chosen target.
+func (e *entryService) mustQueue(choice balance.Choice) bool {
+	switch e.vm.sim.stack.Queue {
+	case QueueAtEntry:
+		return choice.Saturated
+	case QueueShare:
+		return float64(e.inFlight()) >= e.vm.sim.vmShare(e.load)*shareHeadroom
+	default:
+		return false
+	}
+}
+
+func (e *entryService) inFlight() int {
+	sum := 0
+	for _, target := range e.load.targets {
+		sum += e.tracker.InFlight(target.ID)
+	}
+	return sum
+}
+
+// drain sends waiting requests as long as a target is free.
+func (e *entryService) drain() {
+	for e.queue.Len() > 0 {
+		choice, err := e.vm.choose(e.load, nil)
+		if err != nil || e.mustQueue(choice) {
+			return
+		}
+		item, late, ok := e.queue.Pop(e.vm.sim.now)
+		for _, l := range late {
+			l.Value.end(false)
+		}
+		if !ok {
+			return
+		}
+		item.Value.send(e.load.byID[choice.Target.ID])
+	}
+}
--- /dev/null
+++ b/internal/bench/figures.go
@@ -0,0 +1,151 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/placement"
+)
+
+// Run holds the figures of one service in one scenario with one stack. Times are in ms.
+type Run struct {
+	Deployment string `json:"deployment"`
+	Scenario   string `json:"scenario"`
+	Service    string `json:"service"`
+	Stack      string `json:"stack"`
+	Requests   int    `json:"requests"`
+	// InTimePercent is the share of requests answered by their deadline.
+	InTimePercent float64 `json:"in_time_percent"`
+	P50           float64 `json:"p50_ms"`
+	P99           float64 `json:"p99_ms"`
+	P999          float64 `json:"p999_ms"`
+	// RequestImbalance is the highest number of requests of a target over the mean.
+	RequestImbalance float64 `json:"request_imbalance"`
+	// SlotImbalance is the same for slots at the end of the run; 0 for services without keys.
+	SlotImbalance float64 `json:"slot_imbalance,omitempty"`
+	Moved         int     `json:"slots_moved"`
+	// DownSlotSeconds is the sum over slots of the time without an owner that serves them.
+	DownSlotSeconds float64 `json:"down_slot_seconds"`
+	// CrossMbit is the mean traffic between the regions, of all services and both ways, in Mbit/s.
+	CrossMbit float64 `json:"cross_mbit"`
+	// DownMaxMs is the longest time without an owner of one slot.
+	DownMaxMs float64 `json:"down_max_ms"`
+}
+
+// Churn holds the mean number of slots moved by one change of membership, over all targets of a keyed service.
+type Churn struct {
+	Deployment string  `json:"deployment"`
+	Stack      string  `json:"stack"`
+	Slots      int     `json:"slots"`
+	Targets    int     `json:"targets"`
+	Join       float64 `json:"join"`
+	Leave      float64 `json:"leave"`
+	Loss       float64 `json:"loss"`
+}
+
+// Measure runs one scenario.
+func Measure(deployment Deployment, stack Stack, scenario Scenario, seed uint64) ([]Run, error) {
+	s, err := newSim(deployment, stack, seed)
+	if err != nil {
+		return nil, err
+	}
+	s.run(scenario)
+	var runs []Run
+	for _, l := range s.loads {
+		run := l.figures()
+		run.Deployment, run.Scenario, run.Stack = deployment.Name, scenario.Name, stack.Name
+		run.CrossMbit = float64(s.linkBytes*8) / scenario.Duration.Seconds() / 1e6
+		runs = append(runs, run)
+	}
+	return runs, nil
+}
+
+func (l *load) figures() Run {
+	millis := func(percentile float64) float64 { return float64(l.latency.ValueAtPercentile(percentile)) / 1000 }
+	ended := l.refused + int(l.latency.TotalCount())
+	run := Run{
+		Service: string(l.spec.Name), Requests: ended,
+		InTimePercent: 100 * float64(l.inTime) / float64(max(1, ended)),
+		P50:           millis(50), P99: millis(99), P999: millis(99.9),
+		Moved: l.moved, DownSlotSeconds: l.down.Seconds(), DownMaxMs: float64(l.downMax / time.Millisecond),
+	}
+	served := make([]int, len(l.servers))
+	for i, s := range l.servers {
+		served[i] = s.served
+	}
+	run.RequestImbalance = imbalance(served)
+	if l.spec.Keyed {
+		run.SlotImbalance = imbalance(l.slotCounts())
+	}
+	return run
+}
+
+func (l *load) slotCounts() []int {
+	counts := map[model.TargetID]int{}
+	for i := range l.slots {
+		counts[l.slots[i].Owner]++
+	}
+	var result []int
+	for _, s := range l.servers {
+		if s.alive && s.route.InService {
+			result = append(result, counts[s.route.ID])
+		}
+	}
+	return result
+}
+
+// imbalance returns the maximum over the mean.
+func imbalance(counts []int) float64 {
+	sum, most := 0, 0
+	for _, n := range counts {
+		sum += n
+		most = max(most, n)
+	}
+	return float64(most) * float64(len(counts)) / float64(max(1, sum))
+}
+
+// MeasureChurn lets each target of the keyed service leave, be lost and join in turn.
+func MeasureChurn(deployment Deployment, stack Stack) Churn {
+	spec := deployment.Services[1]
+	churn := Churn{Deployment: deployment.Name, Stack: stack.Name, Slots: deployment.HashSlots, Targets: spec.Instances}
+	quiet := &sim{deployment: deployment, stack: stack}
+	l := &load{sim: quiet, spec: spec, byID: map[model.TargetID]*server{}}
+	vm := &entryVM{sim: quiet}
+	for range deployment.Zones {
+		quiet.vms = append(quiet.vms, vm)
+	}
+	for i := range spec.Instances {
+		quiet.addServer(l, i)
+	}
+	for i := range deployment.HashSlots {
+		id := model.Slot{Service: spec.Name, Class: model.AnyRegion, Index: uint32(i)}
+		l.slots = append(l.slots, placement.Slot{ID: id})
+	}
+	l.ready = make([]model.Instant, len(l.slots))
+	l.plan(true)
+	for _, s := range l.servers {
+		s.route.InService = false
+		churn.Leave += l.settle()
+		s.route.InService = true
+		churn.Join += l.settle()
+		s.alive, s.free = false, true
+		churn.Loss += l.settle()
+		s.alive, s.free = true, false
+		churn.Join += l.settle()
+	}
+	n := float64(spec.Instances)
+	churn.Leave, churn.Loss, churn.Join = churn.Leave/n, churn.Loss/n, churn.Join/(2*n)
+	return churn
+}
+
+// settle plans until no slot moves and returns the number of moves.
+func (l *load) settle() float64 {
+	before := l.moved
+	for {
+		last := l.moved
+		l.plan(false)
+		if l.moved == last {
+			return float64(l.moved - before)
+		}
+	}
+}
--- /dev/null
+++ b/internal/bench/load.go
@@ -0,0 +1,142 @@
+package bench
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/placement"
+	"github.com/tarragonpoint/tarragonpoint/internal/route"
+)
+
+// load is the arrivals, targets and measurements of one service.
+type load struct {
+	sim     *sim
+	spec    Service
+	servers []*server
+	targets []*route.Target
+	byID    map[model.TargetID]*server
+	slots   []placement.Slot
+	// ready is the instant from which a slot's owner serves it after a move.
+	ready   []model.Instant
+	random  *rand.Rand
+	keys    *rand.Zipf
+	latency *hdrhistogram.Histogram
+	sent    int
+	inTime  int
+	refused int
+	moved   int
+	// down is the sum over slots of the time without an owner that serves them, and downMax the longest one.
+	down     time.Duration
+	downMax  time.Duration
+	downNow  []time.Duration
+	requests []int // for each slot
+}
+
+// rate returns the arrivals a second.
+func (l *load) rate() float64 {
+	capacity := float64(l.spec.Instances*l.sim.deployment.Concurrency) / l.spec.Work.Seconds()
+	return capacity * l.sim.deployment.Utilization
+}
+
+// schedule schedules the next arrival. Arrivals do not wait for responses.
+func (l *load) schedule() {
+	wait := time.Duration(l.random.ExpFloat64() / l.rate() * float64(time.Second))
+	l.sim.after(wait, func() {
+		l.arrival()
+		l.schedule()
+	})
+}
+
+func (l *load) arrival() {
+	now := l.sim.now
+	work := float64(l.spec.Work) * math.Exp(workSigma*l.random.NormFloat64()-workSigma*workSigma/2)
+	pick := l.random.Float64()
+	r := &request{load: l, work: time.Duration(work), intended: now, deadline: now.Add(l.spec.Deadline - clientDelay)}
+	if l.spec.Keyed {
+		key := model.KeyHash(l.spec.Name, model.AnyRegion, keyName(l.keys.Uint64()))
+		r.slot = int(key % uint64(len(l.slots)))
+		l.requests[r.slot]++
+	}
+	r.vm = l.sim.pickVM(pick)
+	l.sent++
+	l.sim.after(clientDelay, r.arrive)
+	l.sim.after(l.spec.Deadline, func() { r.end(false) })
+}
+
+// record counts a response and the wait from the intended send time.
+func (l *load) record(r *request, at model.Instant, ok bool) {
+	if !ok {
+		l.refused++
+		return
+	}
+	wait := at.Sub(r.intended)
+	if wait <= l.spec.Deadline {
+		l.inTime++
+	}
+	_ = l.latency.RecordValue(min(wait.Microseconds(), histogramMax))
+}
+
+// histogramMax is the highest recorded latency in microseconds.
+const histogramMax = 60_000_000
+
+// ownerNow returns the server that serves the slot now, or nil.
+func (l *load) ownerNow(slot int) *server {
+	if l.sim.now < l.ready[slot] {
+		return nil
+	}
+	owner := l.byID[l.slots[slot].Owner]
+	if owner == nil || !owner.alive {
+		return nil
+	}
+	return owner
+}
+
+// plan runs the stack's placement and carries out its moves.
+func (l *load) plan(first bool) {
+	input := placement.Input{Class: model.AnyRegion, Slots: l.slots, ImbalancePercent: imbalancePercent}
+	if !first {
+		input.MaxMoves = movesPerPlan
+	}
+	for _, s := range l.servers {
+		weight := 1.0
+		if s.cold && l.sim.stack.ColdWeight {
+			weight = float64(s.limit()) / float64(l.sim.deployment.Concurrency)
+		}
+		input.Targets = append(input.Targets, placement.Target{
+			ID: s.route.ID, Zone: s.route.Zone, Region: s.route.Region, InService: s.route.InService,
+			Alive: s.alive || !s.free, Weight: weight,
+		})
+	}
+	moves := l.sim.stack.Plan(input)
+	l.slots = placement.Apply(l.slots, moves)
+	if first {
+		return
+	}
+	l.moved += len(moves)
+	for _, m := range moves {
+		l.ready[m.Slot.Index] = l.sim.now.Add(moveTime)
+	}
+}
+
+const (
+	imbalancePercent = 25
+	// sampleEvery is the resolution of the unavailable time.
+	sampleEvery = 10 * time.Millisecond
+)
+
+// sample adds to the unavailable time of slots.
+func (l *load) sample() {
+	for slot := range l.slots {
+		if l.ownerNow(slot) != nil {
+			l.downNow[slot] = 0
+			continue
+		}
+		l.down += sampleEvery
+		l.downNow[slot] += sampleEvery
+		l.downMax = max(l.downMax, l.downNow[slot])
+	}
+}
