Let load reports lose weight within the time of a request

Cause: with a fixed half-life of 600 ms all entry VMs moved to the target that the last report showed idle. A report now loses half its weight in the median time of a request, counted from an assumed age of 500 ms on arrival.

--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// reportHalfLife is the age at which a load report counts half. Lessors renew every 600 ms.
-	reportHalfLife = 600 * time.Millisecond
+	// reportLag is the assumed age of a load report when it arrives.
+	reportLag = 500 * time.Millisecond
 	// latencyGain is the weight of a new latency in the moving average; about 20 requests replace an old value.
 	latencyGain = 0.1
 )
@@ -130,8 +130,9 @@
 	slowness float64
 }
 
-// estimates returns the estimates of the targets. A report that ages loses weight in favor of the mean of all reports,
-// because a target without recent news is most likely an average one.
+// estimates returns the estimates of the targets. A load report loses half of its weight in the median time of a
+// request, in favor of the mean of all reports: by then, half of the requests that it counted have ended. Reports that
+// outlive the requests they count make all entry VMs move to the same targets at once.
 func (t *Tracker) estimates(now model.Instant, ids []model.TargetID) []estimate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -139,10 +140,7 @@
 	result := make([]estimate, len(ids))
 	for i, id := range ids {
 		state := t.target(id)
-		weight := 0.0
-		if state.reported {
-			weight = math.Exp2(-float64(now.Sub(state.reportedAt)) / float64(reportHalfLife))
-		}
+		weight := t.reportWeight(now, state)
 		result[i] = estimate{
 			load:     float64(state.inFlight) + weight*state.others + (1-weight)*mean,
 			inFlight: state.inFlight,
@@ -152,3 +150,11 @@
 	}
 	return result
 }
+
+func (t *Tracker) reportWeight(now model.Instant, state *tracked) float64 {
+	if !state.reported || t.outliers.median <= 0 {
+		return 0
+	}
+	age := now.Sub(state.reportedAt) + reportLag
+	return math.Exp2(-age.Seconds() / t.outliers.median)
+}
