Count a hot slot as the load of several slots

Now a hot slot counts as the slots that have its rate together, at most one share, and a target keeps at least a quarter of its share.

--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -33,7 +33,8 @@
 	down     time.Duration
 	downMax  time.Duration
 	downNow  []time.Duration
-	requests []int // for each slot
+	requests []int     // for each slot, since the last plan
+	rates    []float64 // for each slot, moving average in requests/s
 }
 
 // rate returns the arrivals a second.
@@ -101,6 +102,9 @@
 	if !first {
 		input.MaxMoves = movesPerPlan
 	}
+	if l.sim.stack.HotRates && !first {
+		input.BaseRate = l.setRates(input.Slots)
+	}
 	for _, s := range l.servers {
 		weight := 1.0
 		if s.cold && l.sim.stack.ColdWeight {
@@ -122,7 +126,29 @@
 	}
 }
 
+// setRates updates the moving averages, gives hot slots their rates and returns the mean rate of the others.
+func (l *load) setRates(slots []placement.Slot) (base float64) {
+	others := 0
+	mean := l.rate() / float64(len(slots))
+	for i := range slots {
+		l.rates[i] += rateGain * (float64(l.requests[i])/planEvery.Seconds() - l.rates[i])
+		l.requests[i] = 0
+		slots[i].Rate = 0
+		if l.rates[i] > hotRatio*mean {
+			slots[i].Rate = l.rates[i]
+			continue
+		}
+		base += l.rates[i]
+		others++
+	}
+	return base / float64(max(1, others))
+}
+
 const (
+	// rateGain is the weight of a new measurement; 20 measurements, or 10 s, replace an old rate.
+	rateGain = 0.1
+	// hotRatio is the ratio of a slot's rate to the mean from which it is hot.
+	hotRatio         = 4
 	imbalancePercent = 25
 	// sampleEvery is the resolution of the unavailable time.
 	sampleEvery = 10 * time.Millisecond
--- a/internal/bench/sim.go
+++ b/internal/bench/sim.go
@@ -67,7 +67,7 @@
 		}
 		l.ready = make([]model.Instant, len(l.slots))
 		l.downNow = make([]time.Duration, len(l.slots))
-		l.requests = make([]int, len(l.slots))
+		l.requests, l.rates = make([]int, len(l.slots)), make([]float64, len(l.slots))
 		l.plan(true)
 		s.every(sampleEvery, l.sample)
 	}
--- a/internal/bench/stack.go
+++ b/internal/bench/stack.go
@@ -30,7 +30,9 @@
 	ColdRule bool
 	// ColdWeight lets cold targets take slots only in proportion to their ramp.
 	ColdWeight bool
-	Queue      QueueAt
+	// HotRates tells the placement the request rates of hot slots.
+	HotRates bool
+	Queue    QueueAt
 	// CountEvery is the interval at which VMs of a zone share their counts of running requests; 0 means never.
 	CountEvery time.Duration
 	// NoReports ignores the targets' load reports.
@@ -45,7 +47,7 @@
 // Policy returns the policies in use.
 func Policy() Stack {
 	return Stack{Name: "policy", Plan: placement.Plan, Balance: balance.P2CID, Budgeted: true, ColdRule: true,
-		ColdWeight: true, Queue: QueueAtTarget}
+		ColdWeight: true, HotRates: true, Queue: QueueAtTarget}
 }
 
 // Variants returns Policy with one choice changed each.
@@ -67,6 +69,7 @@
 	add("counts-100ms-no-reports", func(s *Stack) { s.CountEvery, s.NoReports = 100*time.Millisecond, true })
 	add("counts-100ms-queue-at-entry", func(s *Stack) { s.CountEvery, s.Queue = 100*time.Millisecond, QueueAtEntry })
 	add("no-cold-weight", func(s *Stack) { s.ColdWeight = false })
+	add("no-hot-rates", func(s *Stack) { s.HotRates = false })
 	add("round-robin", func(s *Stack) { s.Balance = balance.RoundRobinID })
 	add("no-budget-no-hedge", func(s *Stack) { s.Budgeted = false })
 	return variants
--- a/internal/placement/doc.go
+++ b/internal/placement/doc.go
@@ -38,6 +38,9 @@
 	Class   model.Class
 	Slots   []Slot
 	Targets []Target
+	// BaseRate is the mean rate of slots that are not hot, in requests a second. With it, a hot slot counts as the number
+	// of slots that have its rate together, at most one target's share; 0 counts each slot as one.
+	BaseRate float64
 	// ImbalancePercent is how far the slots of a target may be from its share, in percent of the share.
 	ImbalancePercent float64
 	// MaxMoves limits the moves of one plan; 0 means no limit.
--- a/internal/placement/hot.go
+++ b/internal/placement/hot.go
@@ -8,6 +8,8 @@
 	hotGain = 0.8
 	// hotMovesPerPlan bounds the moves of hot slots in one plan, because measured rates lag behind a move.
 	hotMovesPerPlan = 4
+	// hotKeeps is the divisor of the share of slots that a target keeps however hot one of them is.
+	hotKeeps = 4
 )
 
 // spreadHot moves hot slots from targets far above the mean rate to the least busy ones.
@@ -42,7 +44,7 @@
 func (p *planner) hottest() *node {
 	var best *node
 	for _, n := range p.nodes {
-		if n.rate > 0 && n.count > n.low && (best == nil || n.rate*n.inverse > best.rate*best.inverse) {
+		if n.rate > 0 && n.load > n.low && (best == nil || n.rate*n.inverse > best.rate*best.inverse) {
 			best = n
 		}
 	}
@@ -53,7 +55,7 @@
 func (p *planner) coolest() *node {
 	var best *node
 	for _, n := range p.nodes {
-		if n.count >= n.high {
+		if n.load >= n.high {
 			continue
 		}
 		if best == nil || cooler(n, best) {
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -15,11 +15,13 @@
 	inverse  float64 // 1 / weight
 	zone     *zoneLoad
 	count    int     // slots that count against the share
-	relative float64 // count / weight
+	load     float64 // count and the extra load of hot slots, in slots
+	relative float64 // load / weight
 	rate     float64 // sum of the rates of hot slots, in requests/s
-	low      int
-	high     int
-	slots    []int // indexes of movable slots, in slot order
+	low      float64 // in slots
+	high     float64 // in slots
+	least    int     // slots that a node with hot slots keeps
+	slots    []int   // indexes of movable slots, in slot order
 }
 
 // zoneLoad is the load of a zone.
@@ -37,6 +39,8 @@
 	nodes []*node
 	byID  map[model.TargetID]*node
 	moves []Move
+	// share is the number of slots for each unit of weight.
+	share float64
 	// position holds, for each slot, 1 + the index of its move, or 0.
 	position []int
 }
@@ -48,6 +52,7 @@
 	if len(p.nodes) == 0 {
 		return nil
 	}
+	p.share = p.slotsPerWeight()
 	displaced := p.load()
 	p.setBounds()
 	p.place(displaced)
@@ -122,6 +127,9 @@
 			owner.rate += slot.Rate
 		}
 	}
+	for _, n := range p.nodes {
+		p.count(n, 0)
+	}
 	sort.SliceStable(displaced, func(i, j int) bool {
 		a, b := displaced[i], displaced[j]
 		if a.reason != b.reason {
@@ -151,25 +159,36 @@
 	return p.reason(slot)
 }
 
-// setBounds gives each node its share of the slots, with the permitted deviation. The shares cover all slots that are
+// setBounds gives each node its share of the load, with the permitted deviation. The shares cover all slots that are
 // not held at a declared target.
 func (p *planner) setBounds() {
-	total := 0
+	extra, weight := 0.0, 0.0
+	for _, n := range p.nodes {
+		p.count(n, 0)
+		extra += n.load - float64(n.count)
+		weight += 1 / n.inverse
+	}
+	tolerance := p.input.ImbalancePercent / percent
+	for _, n := range p.nodes {
+		share := (p.share + extra/weight) / n.inverse
+		n.low = math.Floor(share * (1 - tolerance))
+		n.high = max(math.Ceil(share), math.Floor(share*(1+tolerance)))
+		n.least = int(p.share / n.inverse / hotKeeps)
+	}
+}
+
+// slotsPerWeight returns the number of slots not held at a declared target, for each unit of weight.
+func (p *planner) slotsPerWeight() float64 {
+	slots, weight := 0, 0.0
 	for i := range p.input.Slots {
 		if p.byID[p.input.Slots[i].Pin] == nil {
-			total++
+			slots++
 		}
 	}
-	weight := 0.0
 	for _, n := range p.nodes {
 		weight += 1 / n.inverse
 	}
-	tolerance := p.input.ImbalancePercent / percent
-	for _, n := range p.nodes {
-		share := float64(total) / (weight * n.inverse)
-		n.low = int(share * (1 - tolerance))
-		n.high = max(int(math.Ceil(share)), int(share*(1+tolerance)))
-	}
+	return float64(slots) / weight
 }
 
 // place gives displaced slots to their declared target or the least loaded one.
@@ -185,6 +204,7 @@
 			p.add(to, d.index)
 		} else {
 			to.rate += slot.Rate
+			p.count(to, 0)
 		}
 		p.move(d.index, slot.Owner, to, d.reason)
 	}
@@ -224,7 +244,7 @@
 func (p *planner) restoreBounds() {
 	for !p.full() {
 		from, to := p.most(), p.least()
-		if from == nil || from == to || from.count <= from.high && to.count >= to.low {
+		if from == nil || from == to || from.load <= from.high && to.load >= to.low {
 			return
 		}
 		if from.relative-from.inverse < to.relative {
@@ -237,11 +257,11 @@
 	}
 }
 
-// most returns the node with the highest load that has a movable slot.
+// most returns the node with the highest load that may give a slot away.
 func (p *planner) most() *node {
 	var best *node
 	for _, n := range p.nodes {
-		if len(n.slots) == 0 {
+		if len(n.slots) == 0 || n.load > float64(n.count) && n.count <= n.least {
 			continue
 		}
 		if best == nil || n.relative > best.relative || n.relative == best.relative && winsTie(best, n) {
@@ -296,5 +316,9 @@
 func (p *planner) count(n *node, delta int) {
 	n.count += delta
 	n.zone.count += delta
-	n.relative = float64(n.count) * n.inverse
+	n.load = float64(n.count)
+	if p.input.BaseRate > 0 {
+		n.load += min(n.rate/p.input.BaseRate, p.share/n.inverse)
+	}
+	n.relative = n.load * n.inverse
 }
--- a/internal/placement/plan_test.go
+++ b/internal/placement/plan_test.go
@@ -136,6 +136,27 @@
 	})
 }
 
+// Guards against a target that keeps its full share of slots beside a slot that is as busy as all of them, and against
+// slots that move to and fro as the rates vary.
+func TestPlanRelievesTargetOfHotSlot(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		input := fixture(12, 256, 4)
+		input.Slots = Apply(input.Slots, Plan(input))
+		owner := input.Slots[9].Owner
+		input.BaseRate = 1
+		moves := 0
+		for range 20 {
+			input.Slots[9].Rate = 20 * (1 + 0.1*rapid.Float64Range(-1, 1).Draw(t, "noise"))
+			plan := Plan(input)
+			moves += len(plan)
+			input.Slots = Apply(input.Slots, plan)
+		}
+		require.Equal(t, owner, input.Slots[9].Owner)
+		require.LessOrEqual(t, counts(input.Slots)[owner], 10)
+		require.LessOrEqual(t, moves, 16)
+	})
+}
+
 // Guards against plans over the limit and against urgent moves that wait behind others.
 func TestPlanMaxMovesUrgentFirst(t *testing.T) {
 	input := fixture(12, 256, 4)
