--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -14,14 +14,21 @@
 	variants := flag.Bool("variants", false, "compare variants of the policy instead of the baseline")
 	jsonPath := flag.String("json", "", "file for the figures as JSON")
 	only := flag.String("scenario", "", "run only this scenario")
+	utilization := flag.Float64("utilization", 0, "share of the capacity that the load needs; 0 keeps the default")
 	flag.Parse()
-	if err := run(*seed, *variants, *jsonPath, *only); err != nil {
+	deployments := []bench.Deployment{bench.Granite(), bench.Skyframe()}
+	for i := range deployments {
+		if *utilization > 0 {
+			deployments[i].Utilization = *utilization
+		}
+	}
+	if err := run(deployments, *seed, *variants, *jsonPath, *only); err != nil {
 		fmt.Fprintln(os.Stderr, "bench:", err)
 		os.Exit(1)
 	}
 }
 
-func run(seed uint64, variants bool, jsonPath, only string) error {
+func run(deployments []bench.Deployment, seed uint64, variants bool, jsonPath, only string) error {
 	stacks := []bench.Stack{bench.Baseline(), bench.Policy()}
 	if variants {
 		stacks = bench.Variants()
@@ -30,7 +37,6 @@
 	if only != "" {
 		scenarios = pick(scenarios, only)
 	}
-	deployments := []bench.Deployment{bench.Granite(), bench.Skyframe()}
 	report, err := bench.MeasureAll(deployments, stacks, scenarios, seed)
 	if err != nil {
 		return err
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -170,6 +170,7 @@
 		}
 	}
 	require.Equal(t, 3, ejected)
+	require.Zero(t, tracker.Share(now, "t1"))
 	now = now.Add(2 * time.Second)
 	observeAll(tracker, now, nil, 10)
 	require.Less(t, shares(tracker, now, 10)[1], 0.5)
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -120,6 +120,13 @@
 	return t.target(id).inFlight
 }
 
+// Share returns the part of its normal requests that a target may get, from 0 (ejected) to 1.
+func (t *Tracker) Share(now model.Instant, id model.TargetID) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.target(id).health.share(now)
+}
+
 // estimate is the believed load of a target and the share of requests it may get.
 type estimate struct {
 	load  float64
--- a/internal/bench/figures.go
+++ b/internal/bench/figures.go
@@ -108,7 +108,7 @@
 func MeasureChurn(deployment Deployment, stack Stack) Churn {
 	spec := deployment.Services[1]
 	churn := Churn{Deployment: deployment.Name, Stack: stack.Name, Slots: deployment.HashSlots, Targets: spec.Instances}
-	stack.HotRates = false // there is no load
+	stack.HotRates, stack.SlowWeight = false, false // there is no load
 	quiet := &sim{deployment: deployment, stack: stack}
 	l := &load{sim: quiet, spec: spec, byID: map[model.TargetID]*server{}}
 	vm := &entryVM{sim: quiet}
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -106,13 +106,9 @@
 		input.BaseRate = l.setRates(input.Slots)
 	}
 	for _, s := range l.servers {
-		weight := 1.0
-		if s.cold && l.sim.stack.ColdWeight {
-			weight = float64(s.limit()) / float64(l.sim.deployment.Concurrency)
-		}
 		input.Targets = append(input.Targets, placement.Target{
 			ID: s.route.ID, Zone: s.route.Zone, Region: s.route.Region, InService: s.route.InService,
-			Alive: s.alive || !s.free, Weight: weight,
+			Alive: s.alive || !s.free, Weight: l.weight(s, first),
 		})
 	}
 	moves := l.sim.stack.Plan(input)
@@ -126,6 +122,19 @@
 	}
 }
 
+// weight returns the part of a full share of slots that the server gets.
+func (l *load) weight(s *server, first bool) float64 {
+	weight := 1.0
+	if s.cold && l.sim.stack.ColdWeight {
+		weight = float64(s.limit()) / float64(l.sim.deployment.Concurrency)
+	}
+	if l.sim.stack.SlowWeight && !first {
+		share := s.lessor.services[l].tracker.Share(l.sim.now, s.route.ID)
+		weight *= max(slowWeight, share)
+	}
+	return weight
+}
+
 // setRates updates the moving averages, gives hot slots their rates and returns the mean rate of the others.
 func (l *load) setRates(slots []placement.Slot) (base float64) {
 	others := 0
@@ -145,6 +154,8 @@
 }
 
 const (
+	// slowWeight is the least weight of a slow target.
+	slowWeight = 0.25
 	// rateGain is the weight of a new measurement; 20 measurements, or 10 s, replace an old rate.
 	rateGain = 0.1
 	// hotRatio is the ratio of a slot's rate to the mean from which it is hot.
--- a/internal/bench/stack.go
+++ b/internal/bench/stack.go
@@ -30,6 +30,8 @@
 	ColdRule bool
 	// ColdWeight lets cold targets take slots only in proportion to their ramp.
 	ColdWeight bool
+	// SlowWeight lets targets that the lessor sees as slow keep fewer slots.
+	SlowWeight bool
 	// HotRates tells the placement the request rates of hot slots.
 	HotRates bool
 	Queue    QueueAt
@@ -70,6 +72,7 @@
 	add("counts-100ms-queue-at-entry", func(s *Stack) { s.CountEvery, s.Queue = 100*time.Millisecond, QueueAtEntry })
 	add("no-cold-weight", func(s *Stack) { s.ColdWeight = false })
 	add("no-hot-rates", func(s *Stack) { s.HotRates = false })
+	add("slow-weight", func(s *Stack) { s.SlowWeight = true })
 	add("round-robin", func(s *Stack) { s.Balance = balance.RoundRobinID })
 	add("no-budget-no-hedge", func(s *Stack) { s.Budgeted = false })
 	return variants
