--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -153,6 +153,10 @@
 	Slots         []model.Slot `cbor:"1,keyasint"`
 	HorizonMillis int64        `cbor:"2,keyasint"`
 	Entries       []DedupEntry `cbor:"3,keyasint"`
+	// Term and Fence are those under which the old sender held the slots. The next sender relies on the table only if they
+	// show that no other sender acted in between.
+	Term  model.Term  `cbor:"4,keyasint"`
+	Fence model.Fence `cbor:"5,keyasint"`
 }
 
 // HotKey is a key with its rate, in requests a second.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -53,6 +53,9 @@
 	Fence model.Fence
 	// Since is the time from which this VM has been the only sender for the slot without interruption.
 	Since model.Instant
+	// Previous is the term that the target held before this VM became the sender; zero if unknown. A handover from the
+	// holder of that term moves the horizon of the at-most-once table back.
+	Previous model.Term
 }
 
 // Lease is the lessor's view of a target for which this VM is the lessor.
