Add the request path with lessor, forwarding and retries

Shared types: route.Service gets Timeout; message.CloseID gets KeyHash, so that a lessor that holds only the hash slot does not speak for a key that has been split from it.

--- /dev/null
+++ b/internal/dispatch/attempt.go
@@ -0,0 +1,135 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/message"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/result"
+	"github.com/tarragonpoint/tarragonpoint/internal/route"
+	"github.com/tarragonpoint/tarragonpoint/internal/target"
+)
+
+// attempt runs one attempt on the way that the plan names.
+func (d *Dispatcher) attempt(ctx context.Context, request *Request, p plan, deadline model.Instant) message.ForwardReply {
+	started := d.Clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, deadline.Sub(started))
+	defer cancel()
+	f := d.forwardOf(request, p, deadline)
+	var reply message.ForwardReply
+	var path Path
+	switch p.lessor {
+	case "":
+		reply, path = d.direct(ctx, f, p), PathDirect
+	case d.current.Load().table.VM:
+		reply, path = d.serve(ctx, f), PathLessor
+	default:
+		reply, path = d.forward(ctx, f, p), PathForward
+	}
+	d.Observer.Attempt(request.Service, path, reply.Code, d.Clock.Now().Sub(started))
+	return reply
+}
+
+// forwardOf returns the message that carries one attempt of a request.
+func (d *Dispatcher) forwardOf(request *Request, p plan, deadline model.Instant) *message.Forward {
+	return &message.Forward{
+		Attempt:        d.nextAttempt(),
+		Tenant:         request.Tenant,
+		Service:        request.Service,
+		Target:         p.target.ID,
+		Slot:           p.slot,
+		KeyHash:        p.keyHash,
+		Fence:          p.fence,
+		RequestID:      request.RequestID,
+		Idempotent:     request.Idempotent,
+		ReceivedMillis: request.Received.UnixMilli(),
+		Method:         request.Method,
+		Path:           request.Path,
+		Header:         request.Header,
+		Body:           request.Body,
+		Timeout:        deadline.Sub(d.Clock.Now()),
+	}
+}
+
+// direct sends an idempotent request to a warm target that checks fences.
+func (d *Dispatcher) direct(ctx context.Context, f *message.Forward, p plan) message.ForwardReply {
+	return d.send(ctx, f, p.target, p.class, nil)
+}
+
+// sendAs is what only the lessor adds to a request.
+type sendAs struct {
+	term     model.Term
+	notAfter model.Instant
+}
+
+// send runs one attempt at a target. Home regions are checked here, with the newest table, right before the send.
+func (d *Dispatcher) send(ctx context.Context, f *message.Forward, t *route.Target, class model.Class, as *sendAs) message.ForwardReply {
+	table := d.current.Load().table
+	if !mayServe(table, f.Tenant, class, table.Region) || !mayServe(table, f.Tenant, class, t.Region) {
+		return refusal(f.Attempt, result.OwnerUnavailable)
+	}
+	started := d.Clock.Now()
+	timeout := f.Timeout
+	if end, bounded := ctx.Deadline(); bounded {
+		timeout = min(timeout, time.Until(end))
+	}
+	if timeout <= 0 || ctx.Err() != nil {
+		return refusal(f.Attempt, result.DeadlinePassed)
+	}
+	request := target.Request{
+		Attempt: f.Attempt, Method: f.Method, Path: f.Path, Header: http.Header(f.Header), Body: f.Body,
+		Slot: f.Slot, KeyHash: f.KeyHash, Fence: f.Fence, Timeout: timeout,
+	}
+	if as != nil {
+		request.Term = &as.term
+		request.NotAfter = as.notAfter
+	}
+	d.Chooser.Begin(t.ID)
+	response, err := d.Client.Do(ctx, t.Address, request)
+	reply := classify(f.Attempt, f.Slot != nil, response, err)
+	if errorx.IsOfType(err, target.ErrBroken) && d.crashed(t) {
+		d.strike(f, t.ID)
+		reply = refusal(f.Attempt, result.TargetFailed)
+	}
+	reply.Target = t.ID
+	reply.Fence = f.Fence
+	d.Chooser.End(t.ID, d.Clock.Now().Sub(started), reply.Outcome)
+	return reply
+}
+
+// forward sends a request to the lessor of its target and waits for the reply.
+func (d *Dispatcher) forward(ctx context.Context, f *message.Forward, p plan) message.ForwardReply {
+	table := d.current.Load().table
+	peerRegion := table.PeerRegions[p.lessor]
+	allowed := mayServe(table, f.Tenant, p.class, peerRegion) && mayServe(table, f.Tenant, p.class, p.target.Region)
+	if !allowed {
+		return refusal(f.Attempt, result.OwnerUnavailable)
+	}
+	replies, ok := d.pending.add(f.Attempt, p.lessor)
+	if !ok {
+		return refusal(f.Attempt, result.Overloaded)
+	}
+	defer d.pending.remove(f.Attempt)
+	if err := d.Sender.Send(p.lessor, message.Message{Forward: f}); err != nil {
+		return refusal(f.Attempt, result.PeerUnavailable)
+	}
+	select {
+	case reply := <-replies:
+		return reply
+	case <-ctx.Done():
+		d.cancelForward(f, p.lessor)
+		return refusal(f.Attempt, result.DeadlineMissed)
+	}
+}
+
+// cancelForward tells the lessor that nobody waits for an idempotent request. A lost message only costs the target's time.
+func (d *Dispatcher) cancelForward(f *message.Forward, lessor model.VMID) {
+	if !f.Idempotent {
+		return
+	}
+	_ = d.Sender.Send(lessor, message.Message{CancelForward: &message.CancelForward{Attempt: f.Attempt}})
+}
--- /dev/null
+++ b/internal/dispatch/dispatcher_test.go
@@ -0,0 +1,315 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/message"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/result"
+	"github.com/tarragonpoint/tarragonpoint/internal/route"
+	"github.com/tarragonpoint/tarragonpoint/internal/target"
+)
+
+var ctx = context.Background()
+
+func TestDirectSendCarriesFenceAndNoTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil)
+		r.SetTable(r.newTable(other))
+		answer := r.Handle(ctx, r.request(keyed, true))
+		require.Equal(t, result.Ran, answer.Outcome)
+		require.Equal(t, model.Fence(9), r.client.sent[0].Fence)
+		require.Nil(t, r.client.sent[0].Term)
+	})
+}
+
+func TestLessorSetsTermAndLatestStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil)
+		r.SetTable(r.newTable(self))
+		require.Equal(t, result.Ran, r.Handle(ctx, r.request(keyed, false)).Outcome)
+		require.Equal(t, model.Offset(3), r.client.sent[0].Term.Epoch)
+		require.Equal(t, model.Instant(77), r.client.sent[0].NotAfter)
+	})
+}
+
+// A request that broke after the send may have run: it is neither retried nor run for a second attempt of the caller.
+func TestBrokenNonIdempotentIsUnknownAndNotSentAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil)
+		r.client.renew = func() (target.RenewReply, error) { return target.RenewReply{Incarnation: 5}, nil }
+		r.client.do = func(context.Context, target.Address, target.Request, int) (target.Response, error) {
+			return target.Response{}, target.ErrBroken.New("reset")
+		}
+		r.SetTable(r.newTable(self))
+		request := r.request(keyed, false)
+		for range 2 {
+			require.Equal(t, result.Unknown, r.Handle(ctx, request).Outcome)
+		}
+		require.Equal(t, 1, r.client.count())
+	})
+}
+
+// Handle must return by the deadline although the target hangs, and the late answer must reach the next attempt.
+func TestLateAnswerIsStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil)
+		r.client.do = func(context.Context, target.Address, target.Request, int) (target.Response, error) {
+			time.Sleep(8 * time.Second)
+			return target.Response{Status: 201, Body: []byte("filed")}, nil
+		}
+		r.SetTable(r.newTable(self))
+		request := r.request(keyed, false)
+		started := time.Now()
+		answer := r.Handle(ctx, request)
+		require.Equal(t, result.DeadlineMissed, answer.Code)
+		require.Equal(t, 5*time.Second, time.Since(started))
+		request.Deadline = request.Deadline.Add(time.Minute)
+		answer = r.Handle(ctx, request)
+		require.Equal(t, "filed", string(answer.Body))
+		require.Equal(t, 1, r.client.count())
+	})
+}
+
+func TestRefusalIsNotRunOnlyWithTheLessorsWord(t *testing.T) {
+	for name, word := range map[string]result.Outcome{"closed": result.NotRun, "no word": result.Unknown} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, nil)
+				r.sender.onSend = func(to model.VMID, m message.Message) error {
+					switch {
+					case m.Forward != nil:
+						go r.OnMessage(to, message.Message{ForwardReply: ptr(refusal(m.Forward.Attempt, result.Quarantined))})
+					case m.CloseID != nil && word == result.NotRun:
+						go r.OnMessage(to, message.Message{ForwardReply: ptr(refusal(m.CloseID.Attempt, result.RequestClosed))})
+					}
+					return nil
+				}
+				r.SetTable(r.newTable(other))
+				answer := r.Handle(ctx, r.request(keyed, false))
+				require.Equal(t, result.Quarantined, answer.Code)
+				require.Equal(t, word, answer.Outcome)
+			})
+		})
+	}
+}
+
+func ptr[T any](value T) *T { return &value }
+
+// Guards against reporting "not run" for an idempotent request whose first attempt may have run.
+func TestEarlierUnknownAttemptForbidsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil)
+		r.client.do = func(_ context.Context, _ target.Address, _ target.Request, count int) (target.Response, error) {
+			if count == 1 {
+				return target.Response{}, target.ErrCrossed.New("crossed")
+			}
+			return target.Response{Status: 410, NotRun: target.RefusedDeadline}, nil
+		}
+		r.SetTable(r.newTable(other))
+		require.Equal(t, result.Unknown, r.Handle(ctx, r.request(keyed, true)).Outcome)
+		require.Equal(t, 2, r.client.count())
+	})
+}
+
+func TestRequestInHandOverIsHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil)
+		r.client.do = func(_ context.Context, _ target.Address, _ target.Request, count int) (target.Response, error) {
+			if count < 40 {
+				return target.Response{Status: 409, NotRun: target.RefusedNotOwner}, nil
+			}
+			return target.Response{Status: 200}, nil
+		}
+		r.SetTable(r.newTable(self))
+		started := time.Now()
+		require.Equal(t, result.Ran, r.Handle(ctx, r.request(keyed, false)).Outcome)
+		require.Equal(t, 39*holdInterval, time.Since(started))
+	})
+}
+
+func TestRequestWithoutOwnerIsHeldForThreeSeconds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil)
+		table := r.newTable(other)
+		table.Owners = nil
+		r.SetTable(table)
+		started := time.Now()
+		answer := r.Handle(ctx, r.request(keyed, true))
+		require.Equal(t, result.OwnerUnavailable, answer.Code)
+		require.Equal(t, result.NotRun, answer.Outcome)
+		require.Equal(t, holdLimit, time.Since(started))
+	})
+}
+
+func TestForwardedRequestIsNeverForwarded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil)
+		r.SetTable(r.newTable(far))
+		r.OnMessage(other, message.Message{Forward: &message.Forward{
+			Attempt: "x", Tenant: tenant, Service: keyed, Target: "review-1", Slot: &keySlot, Fence: 9, Idempotent: true,
+			Timeout: time.Second,
+		}})
+		synctest.Wait()
+		require.Len(t, r.sender.sent, 1)
+		require.Equal(t, result.NotRun, r.sender.sent[0].ForwardReply.Outcome)
+		require.Equal(t, other, r.sender.sent[0].to)
+	})
+}
+
+func TestSilentAttemptIsReplacedAndCanceled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil)
+		canceled := make(chan struct{})
+		r.client.do = func(ctx context.Context, _ target.Address, _ target.Request, count int) (target.Response, error) {
+			if count > 1 {
+				return target.Response{Status: 200}, nil
+			}
+			<-ctx.Done()
+			close(canceled)
+			return target.Response{}, target.ErrTimeout.New("silent")
+		}
+		r.SetTable(r.newTable(other))
+		started := time.Now()
+		require.Equal(t, result.Ran, r.Handle(ctx, r.request(keyed, true)).Outcome)
+		require.Equal(t, silenceFloor, time.Since(started))
+		<-canceled
+	})
+}
+
+// A tenant's request must not leave its home regions, neither to a peer nor to a target.
+func TestHomeRegionsAtTheLastMoment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil)
+		table := r.newTable(far)
+		home := &route.Tenant{Name: tenant, HomeRegions: []model.Region{"nh-seacoast"}, Class: "nh-seacoast"}
+		table.Tenants[tenant] = home
+		slot := model.Slot{Service: keyed, Class: home.Class}
+		review := table.Targets["review-1"]
+		table.Owners = map[model.Slot]route.Owner{slot: {Slot: slot, Fence: 9, Target: review}}
+		r.SetTable(table)
+		require.Equal(t, result.Unknown, r.Handle(ctx, r.request(keyed, false)).Outcome)
+		require.Empty(t, r.sender.sent, "not even the request ID leaves the region")
+		f := &message.Forward{Tenant: tenant, Timeout: time.Second}
+		outside := *review
+		outside.Region = "mass-central"
+		require.Equal(t, result.NotRun, r.send(ctx, f, &outside, home.Class, nil).Outcome)
+		require.Zero(t, r.client.count())
+	})
+}
+
+type strikes struct {
+	noQuarantine
+	count int
+}
+
+func (s *strikes) Strike(model.Instant, uint64, model.TargetID) { s.count++ }
+
+func TestStrikeStaysInTheRegionAndIsNotRetried(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		counted := &strikes{}
+		r := newRig(t, func(o *Options) { o.Quarantine = counted })
+		r.client.do = func(context.Context, target.Address, target.Request, int) (target.Response, error) {
+			return target.Response{}, target.ErrBroken.New("reset")
+		}
+		r.client.renew = func() (target.RenewReply, error) { return target.RenewReply{}, target.ErrNotSent.New("refused") }
+		r.SetTable(r.newTable(other))
+		require.Equal(t, result.TargetFailed, r.Handle(ctx, r.request(unkeyed, true)).Code)
+		require.Equal(t, 1, r.client.count())
+		require.Len(t, r.sender.sent, 1)
+		require.Equal(t, other, r.sender.sent[0].to)
+		r.OnMessage(far, message.Message{Strike: &message.Strike{}})
+		require.Equal(t, 1, counted.count)
+	})
+}
+
+// A lease that was interrupted while a request waited at the gate voids the admission: another lessor may have run the ID.
+func TestInterruptedLeaseVoidsQueuedRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil)
+		hold := make(chan struct{})
+		r.client.do = func(context.Context, target.Address, target.Request, int) (target.Response, error) {
+			<-hold
+			return target.Response{Status: 200}, nil
+		}
+		table := r.newTable(self)
+		table.Leases = map[model.TargetID]route.Lease{"review-1": r.lease(9, 1)}
+		r.SetTable(table)
+		first, second := r.request(keyed, false), r.request(keyed, false)
+		second.RequestID = ptr(model.RequestIDAt(second.Received, 5))
+		answers := make(chan Answer, 2)
+		go func() { answers <- r.Handle(ctx, first) }()
+		synctest.Wait()
+		go func() { answers <- r.Handle(ctx, second) }()
+		synctest.Wait()
+		changed := *table
+		lease := r.lease(9, 1)
+		lease.Slots = map[model.Slot]route.SlotLease{keySlot: {Fence: 9, Since: r.clock.Now()}}
+		changed.Leases = map[model.TargetID]route.Lease{"review-1": lease}
+		r.SetTable(&changed)
+		close(hold)
+		require.Equal(t, result.Ran, (<-answers).Outcome)
+		require.Equal(t, result.BeforeHorizon, (<-answers).Code)
+		require.Equal(t, 1, r.client.count())
+	})
+}
+
+func TestReplyOfAnotherPeerIsDropped(t *testing.T) {
+	p := pendingForwards{byAttempt: map[string]pendingForward{}, limit: 1}
+	reply, _ := p.add("x", other)
+	p.deliver(far, message.ForwardReply{Attempt: "x"})
+	require.Empty(t, reply)
+	_, ok := p.add("y", other)
+	require.False(t, ok, "the table is bounded")
+}
+
+func TestGateIsFairAndBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := &gate{limit: 1, maxQueue: 2}
+		require.Equal(t, gateOpen, g.acquire(nil))
+		var order []int
+		for i := range 2 {
+			go func() {
+				if g.acquire(nil) == gateOpen {
+					order = append(order, i)
+					g.release()
+				}
+			}()
+			synctest.Wait()
+		}
+		require.Equal(t, gateFull, g.acquire(nil))
+		g.release()
+		synctest.Wait()
+		require.Equal(t, []int{0, 1}, order)
+	})
+}
+
+type nextIs model.VMID
+
+func (n nextIs) Successor(model.TargetID) model.VMID { return model.VMID(n) }
+
+func TestStopInterruptsNothingAndHandsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, func(o *Options) { o.Successors = nextIs(other) })
+		r.client.do = func(context.Context, target.Address, target.Request, int) (target.Response, error) {
+			time.Sleep(2 * time.Second)
+			return target.Response{Status: 200, Body: []byte("filed")}, nil
+		}
+		r.SetTable(r.newTable(self))
+		answers := make(chan Answer, 1)
+		go func() { answers <- r.Handle(ctx, r.request(keyed, false)) }()
+		synctest.Wait()
+		require.NoError(t, r.Stop(ctx))
+		require.Equal(t, result.Ran, (<-answers).Outcome)
+		require.Len(t, r.sender.sent, 1)
+		handover := r.sender.sent[0].Handover
+		require.Equal(t, "filed", string(handover.Entries[0].Answer.Body))
+		require.Equal(t, model.Term{Epoch: 3}, handover.Term)
+		require.Equal(t, result.Draining, r.Handle(ctx, r.request(keyed, true)).Code)
+	})
+}
--- /dev/null
+++ b/internal/dispatch/precheck.go
@@ -0,0 +1,72 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/result"
+)
+
+// Precheck decides on a request before its body is read. It returns nil if the body may be read.
+func (d *Dispatcher) Precheck(ctx context.Context, preview Preview) *Answer {
+	request := Request{
+		Tenant: preview.Tenant, Service: preview.Service, Key: preview.Key, RequestID: preview.RequestID,
+		Idempotent: preview.Idempotent, Received: preview.Received,
+		Deadline: d.Clock.Wall().Add(closeTimeout),
+	}
+	code := d.check(&request)
+	if code == result.OK && d.life.isStopping() {
+		code = result.Draining
+	}
+	if code == result.OK {
+		code = d.Admission.Allow(request.Tenant, request.Service)
+	}
+	if code == result.OK {
+		return nil
+	}
+	answer := d.conclude(ctx, &request, answerOf(refusal("", code)))
+	return &answer
+}
+
+// check returns result.OK or why the request may not be served here now. Home regions come first.
+func (d *Dispatcher) check(request *Request) result.Code {
+	table := d.current.Load().table
+	if !table.Ready {
+		return result.NotReady
+	}
+	tenant := table.Tenants[request.Tenant]
+	if tenant == nil {
+		return result.UnknownTenant
+	}
+	if !tenant.Class.Allows(table.Region) {
+		return result.WrongRegion
+	}
+	if tenant.Suspended {
+		return result.TenantSuspended
+	}
+	service := table.Services[request.Service]
+	if service == nil {
+		return result.UnknownService
+	}
+	if !request.Idempotent && request.RequestID == nil {
+		return result.RequestIDRequired
+	}
+	if service.Keyed && request.Key == "" {
+		return result.KeyRequired
+	}
+	return result.OK
+}
+
+// homeRegions returns the home regions of a tenant for the answer with result.WrongRegion.
+func (d *Dispatcher) homeRegions(tenant model.Tenant) []model.Region {
+	if known := d.current.Load().table.Tenants[tenant]; known != nil {
+		return known.HomeRegions
+	}
+	return nil
+}
+
+// remaining returns the time until the caller's deadline.
+func (d *Dispatcher) remaining(request *Request) time.Duration {
+	return request.Deadline.Sub(d.Clock.Wall())
+}
--- /dev/null
+++ b/internal/dispatch/resolve.go
@@ -0,0 +1,115 @@
+package dispatch
+
+import (
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/result"
+	"github.com/tarragonpoint/tarragonpoint/internal/route"
+)
+
+// plan is where one attempt goes.
+type plan struct {
+	service *route.Service
+	class   model.Class
+	target  *route.Target
+	// slot is nil for an idempotent request of a service without keys.
+	slot    *model.Slot
+	keyHash uint64
+	fence   model.Fence
+	// lessor is the VM that must send the request; "" for a direct send.
+	lessor model.VMID
+}
+
+// keyOf returns the key that decides the slot; "" if the request has none.
+func keyOf(service *route.Service, key string, id *model.RequestID, idempotent bool) string {
+	if service.Keyed {
+		return key
+	}
+	if idempotent || id == nil {
+		return ""
+	}
+	return id.String()
+}
+
+// resolve returns the plan of the next attempt, or the code of the refusal. tried are targets of earlier attempts.
+func (d *Dispatcher) resolve(v *view, request *Request, tried map[model.TargetID]bool) (plan, result.Code) {
+	service := v.table.Services[request.Service]
+	tenant := v.table.Tenants[request.Tenant]
+	if service == nil || tenant == nil {
+		return plan{}, result.NotReady
+	}
+	p := plan{service: service, class: tenant.Class}
+	key := keyOf(service, request.Key, request.RequestID, request.Idempotent)
+	if key == "" {
+		return d.resolveUnkeyed(v, p, tried)
+	}
+	if code := d.resolveOwner(v, &p, key); code != result.OK {
+		return plan{}, code
+	}
+	if !request.Idempotent || p.target.Fencing != route.FencingChecked || p.target.Status.Cold {
+		return d.withLessor(v, p)
+	}
+	return p, result.OK
+}
+
+// resolveOwner fills in the owner of a key if it can be used now.
+func (d *Dispatcher) resolveOwner(v *view, p *plan, key string) result.Code {
+	p.keyHash = model.KeyHash(p.service.Name, p.class, key)
+	owner, found := v.table.Resolve(p.service, p.class, p.keyHash)
+	if !found || owner.Target == nil || !d.usable(v, owner.Target) || !p.class.Allows(owner.Target.Region) {
+		return result.OwnerUnavailable
+	}
+	p.target = owner.Target
+	p.slot = &owner.Slot
+	p.fence = owner.Fence
+	return result.OK
+}
+
+// usable reports whether the owner of a key may get requests. The keys of a leaving target are served while they move.
+func (d *Dispatcher) usable(v *view, t *route.Target) bool {
+	if t.Status == nil || !t.Status.Serving {
+		return false
+	}
+	since, leaving := v.leavingSince[t.ID]
+	return !leaving || d.Clock.Now().Sub(since) < leaveGrace
+}
+
+func (d *Dispatcher) resolveUnkeyed(v *view, p plan, tried map[model.TargetID]bool) (plan, result.Code) {
+	candidates := make([]*route.Target, 0, len(p.service.Targets))
+	for _, t := range p.service.Targets {
+		healthy := t.InService && t.Status != nil && t.Status.Serving && !t.Status.Draining
+		if healthy && !tried[t.ID] && p.class.Allows(t.Region) {
+			candidates = append(candidates, t)
+		}
+	}
+	if len(candidates) == 0 {
+		return plan{}, result.NoTarget
+	}
+	p.target = d.Chooser.Choose(v.table, p.service, candidates)
+	if p.target == nil {
+		return plan{}, result.NoTarget
+	}
+	if p.target.Fencing != route.FencingChecked || p.target.Status.Cold {
+		return d.withLessor(v, p)
+	}
+	return p, result.OK
+}
+
+// withLessor sets the lessor of the plan's target.
+func (d *Dispatcher) withLessor(v *view, p plan) (plan, result.Code) {
+	p.lessor = lessorOf(v.table, p.target)
+	if p.lessor == "" {
+		return plan{}, result.OwnerUnavailable
+	}
+	return p, result.OK
+}
+
+// lessorOf returns the lessor of a target; "" if it is not known.
+func lessorOf(table *route.Table, t *route.Target) model.VMID {
+	if _, held := table.Leases[t.ID]; held {
+		return table.VM
+	}
+	if t.Status == nil || t.Status.Lessor == table.VM {
+		return ""
+	}
+	return t.Status.Lessor
+}
--- /dev/null
+++ b/internal/dispatch/rules.go
@@ -0,0 +1,117 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/message"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/result"
+	"github.com/tarragonpoint/tarragonpoint/internal/route"
+	"github.com/tarragonpoint/tarragonpoint/internal/target"
+)
+
+// wallAt converts an instant of this process to the wall clock.
+func (d *Dispatcher) wallAt(instant model.Instant) time.Time {
+	return d.Clock.Wall().Add(instant.Sub(d.Clock.Now()))
+}
+
+// refusal returns the reply of an attempt that ended with a code and that code's outcome.
+func refusal(attempt string, code result.Code) message.ForwardReply {
+	info := result.Lookup(code)
+	return message.ForwardReply{Attempt: attempt, Code: code, Outcome: info.Outcome, Status: info.HTTPStatus}
+}
+
+// answerOf returns the answer to the caller that a reply carries.
+func answerOf(reply message.ForwardReply) Answer {
+	return Answer{
+		Code: reply.Code, Outcome: reply.Outcome, Status: reply.Status, Header: reply.Header, Body: reply.Body,
+		Target: reply.Target, Fence: reply.Fence,
+	}
+}
+
+// classify turns the result of target.Client.Do into a reply. Only an answer without a refusal is "ran", and only a
+// refusal with a known reason or a request that was not sent is "not run".
+func classify(attempt string, keyed bool, response target.Response, err error) message.ForwardReply {
+	switch {
+	case err == nil && response.NotRun == "":
+		return message.ForwardReply{
+			Attempt: attempt, Code: result.OK, Outcome: result.Ran, Status: response.Status,
+			Header: response.Header, Body: response.Body,
+		}
+	case err == nil:
+		return refusal(attempt, refusalCode(response.NotRun))
+	case errorx.IsOfType(err, target.ErrNotSent) && keyed:
+		return refusal(attempt, result.OwnerUnavailable)
+	case errorx.IsOfType(err, target.ErrNotSent):
+		return refusal(attempt, result.NoTarget)
+	case errorx.IsOfType(err, target.ErrTimeout):
+		return refusal(attempt, result.DeadlineMissed)
+	default:
+		return refusal(attempt, result.OutcomeUnknown)
+	}
+}
+
+func refusalCode(reason target.RefusalReason) result.Code {
+	switch reason {
+	case target.RefusedNotOwner, target.RefusedTerm:
+		return result.OwnerUnavailable
+	case target.RefusedShed:
+		return result.Overloaded
+	case target.RefusedDraining:
+		return result.Draining
+	case target.RefusedDeadline:
+		return result.DeadlinePassed
+	default:
+		return result.OutcomeUnknown
+	}
+}
+
+// retryKind says how a reply may be retried by the VM that received the request.
+type retryKind uint8
+
+const (
+	retryNever retryKind = iota
+	// retryHold waits for an ownership change; it is free because the request is known not to have run.
+	retryHold
+	// retryBudgeted takes one retry from the budget.
+	retryBudgeted
+)
+
+// retryOf returns how a request may be retried after a reply. A request that may have run is retried only if it is
+// idempotent and broke no target.
+func retryOf(reply message.ForwardReply, keyed, idempotent bool) retryKind {
+	switch reply.Outcome {
+	case result.Ran:
+		return retryNever
+	case result.Unknown:
+		if idempotent && reply.Code == result.OutcomeUnknown {
+			return retryBudgeted
+		}
+		return retryNever
+	}
+	switch reply.Code {
+	case result.OwnerUnavailable, result.PeerUnavailable:
+		return retryHold
+	case result.Draining:
+		if keyed {
+			return retryHold
+		}
+		return retryBudgeted
+	case result.Overloaded, result.NoTarget:
+		return retryBudgeted
+	default:
+		return retryNever
+	}
+}
+
+// mayServe reports whether a tenant's request may go to a region now: the tenant is active, its class is the one that the
+// request was resolved with, and the region is known and among its home regions.
+func mayServe(table *route.Table, tenant model.Tenant, class model.Class, region model.Region) bool {
+	known := table.Tenants[tenant]
+	if known == nil || known.Suspended || known.Class != class || region == "" {
+		return false
+	}
+	return known.Class.Allows(region)
+}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -130,6 +130,8 @@
 	Slot           model.Slot      `cbor:"2,keyasint"`
 	RequestID      model.RequestID `cbor:"3,keyasint"`
 	ReceivedMillis int64           `cbor:"4,keyasint"`
+	// KeyHash lets the lessor see that the key has a slot of its own by now.
+	KeyHash uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Strike reports that a request broke a target. It goes only to peers in the same region.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -2,6 +2,8 @@
 package route
 
 import (
+	"time"
+
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
 	"github.com/tarragonpoint/tarragonpoint/internal/target"
 )
@@ -79,6 +81,8 @@
 	Slots uint32
 	// Concurrency is the number of requests that one warm target runs at a time.
 	Concurrency int
+	// Timeout is the longest time that a request may take; 0 means the request path's default.
+	Timeout time.Duration
 	// Targets are all targets, in order of ID.
 	Targets []*Target
 }
