--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -142,6 +142,8 @@
 	Slot           model.Slot      `cbor:"2,keyasint"`
 	RequestID      model.RequestID `cbor:"3,keyasint"`
 	ReceivedMillis int64           `cbor:"4,keyasint"`
+	// KeyHash lets the lessor see that the key has a slot of its own by now.
+	KeyHash uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Strike reports that a request broke a target. It goes only to peers in the same region.
@@ -165,6 +167,10 @@
 	Slots         []model.Slot `cbor:"1,keyasint"`
 	HorizonMillis int64        `cbor:"2,keyasint"`
 	Entries       []DedupEntry `cbor:"3,keyasint"`
+	// Term and Fence are those under which the old sender held the slots. The next sender relies on the table only if they
+	// show that no other sender acted in between.
+	Term  model.Term  `cbor:"4,keyasint"`
+	Fence model.Fence `cbor:"5,keyasint"`
 }
 
 // HotKey is a key with its rate, in requests a second.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -2,6 +2,8 @@
 package route
 
 import (
+	"time"
+
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
 	"github.com/tarragonpoint/tarragonpoint/internal/target"
 )
@@ -53,6 +55,9 @@
 	Fence model.Fence
 	// Since is the time from which this VM has been the only sender for the slot without interruption.
 	Since model.Instant
+	// Previous is the term that the target held before this VM became the sender; zero if unknown. A handover from the
+	// holder of that term moves the horizon of the at-most-once table back.
+	Previous model.Term
 }
 
 // Lease is the lessor's view of a target for which this VM is the lessor.
@@ -76,6 +81,8 @@
 	Slots uint32
 	// Concurrency is the number of requests that one warm target runs at a time.
 	Concurrency int
+	// Timeout is the longest time that a request may take; 0 means the request path's default.
+	Timeout time.Duration
 	// Targets are all targets, in order of ID.
 	Targets []*Target
 }
