--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -19,7 +19,7 @@
 	// fetchInterval is the time between two requests to peers for records of a stream.
 	fetchInterval = 200 * time.Millisecond
 	// peerWait is the time for which a starting VM waits for answers of peers while the log is down.
-	peerWait = 3 * time.Second
+	peerWait = 5 * time.Second
 )
 
 // peer is what this VM knows of another entry VM from its messages.
--- a/internal/proof/target_test.go
+++ b/internal/proof/target_test.go
@@ -27,6 +27,8 @@
 	version  uint64
 	inbox    []func()
 	cold     bool
+	// gone is true once the target's VM is lost. Its ID never comes back.
+	gone bool
 }
 
 func (t *fakeTarget) start() {
