Wire the entry role: control loop, streams, request path and policies

Cause: the whole path must run in separate processes before anything else is proved. Ruled out: requests through watermill (latency); the log's records and appends go through its router, subscriber and publisher. Also keeps a read without an end offset from marking a stream as caught up, and drops the handover for planned moves, which the at-most-once table cannot tell from a handover of an earlier owner. Not run yet beyond the build.

--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -110,12 +110,6 @@
 // SetPeers replaces the addresses of the other entry VMs.
 type SetPeers struct{ Peers map[model.VMID]string }
 
-// HandOver asks for the at-most-once table of slots to be sent to the entry VM that will send for them next.
-type HandOver struct {
-	Slots []model.Slot
-	To    model.VMID
-}
-
 // Left says that this VM has left its cells: others act as lessors now.
 type Left struct{}
 
@@ -125,32 +119,50 @@
 	Target model.TargetID
 	VM     model.VMID
 	Count  int
+	// Evidence is set for a takeover.
+	Evidence record.Evidence
 }
 
 // NoticeKind says what a Notice is about.
-type NoticeKind string
+type NoticeKind uint8
 
 // Kinds of notices.
 const (
-	NoticeTakeover     NoticeKind = "takeover"
-	NoticeTargetSilent NoticeKind = "target silent"
-	NoticeTargetBack   NoticeKind = "target answers again"
-	NoticeTargetUp     NoticeKind = "target has a new incarnation"
-	NoticeSteppedIn    NoticeKind = "acting as lessor"
-	NoticeMemberSilent NoticeKind = "member removed"
-	NoticeVMGone       NoticeKind = "VM gone"
-	NoticeMoved        NoticeKind = "slots moved"
-	NoticeLogDown      NoticeKind = "log down"
-	NoticeLogUp        NoticeKind = "log up"
-	NoticeRemoved      NoticeKind = "removed from the cell, joining again"
+	NoticeTakeover NoticeKind = iota + 1
+	NoticeTargetSilent
+	NoticeTargetBack
+	NoticeTargetUp
+	NoticeSteppedIn
+	NoticeMemberSilent
+	NoticeVMGone
+	NoticeMoved
+	NoticeLogDown
+	NoticeLogUp
+	NoticeRemoved
 )
 
+var noticeSentences = map[NoticeKind]string{
+	NoticeTakeover:     "Slots were taken over.",
+	NoticeTargetSilent: "A target does not answer.",
+	NoticeTargetBack:   "A target answers again.",
+	NoticeTargetUp:     "A target has a new incarnation.",
+	NoticeSteppedIn:    "Acting as lessor.",
+	NoticeMemberSilent: "Removing a silent member from the cell.",
+	NoticeVMGone:       "The VM list no longer has an entry VM.",
+	NoticeMoved:        "Moving slots.",
+	NoticeLogDown:      "The log does not answer.",
+	NoticeLogUp:        "The log answers.",
+	NoticeRemoved:      "This VM was removed from its cell and joins again.",
+}
+
+// Sentence returns the log line of a notice.
+func (k NoticeKind) Sentence() string { return noticeSentences[k] }
+
 func (Append) isEffect()   {}
 func (Send) isEffect()     {}
 func (Renew) isEffect()    {}
 func (Revoke) isEffect()   {}
 func (Publish) isEffect()  {}
 func (SetPeers) isEffect() {}
-func (HandOver) isEffect() {}
 func (Left) isEffect()     {}
 func (Notice) isEffect()   {}
--- a/internal/control/moves.go
+++ b/internal/control/moves.go
@@ -14,7 +14,6 @@
 	revoked bool
 	// revokedBy is the incarnation that acknowledged.
 	revokedBy model.Incarnation
-	handedOff bool
 	// sentIn is the sequence number of the last revocation that named the slot.
 	sentIn uint64
 }
@@ -64,7 +63,7 @@
 	return status != nil && status.Serving && !status.Draining
 }
 
-// runMoves drives the planned moves of each target: revoke, hand the at-most-once table over, append.
+// runMoves drives the planned moves of each target: revoke, then append.
 func (n *Node) runMoves() {
 	for _, id := range sortedKeys(n.targets) {
 		state := n.targets[id]
@@ -167,7 +166,6 @@
 		if !moving.revoked || len(moves) == maxMovesPerRecord {
 			continue
 		}
-		n.handOff(moving)
 		moves = append(moves, moving.move)
 	}
 	if len(moves) == 0 {
@@ -178,17 +176,6 @@
 	}
 }
 
-// handOff sends the at-most-once table of a revoked slot to the lessor of the new owner.
-func (n *Node) handOff(moving *slotMove) {
-	if moving.handedOff {
-		return
-	}
-	moving.handedOff = true
-	if status := n.currentStatus(moving.move.To); status != nil {
-		n.emit(HandOver{Slots: []model.Slot{moving.move.Slot}, To: status.Lessor})
-	}
-}
-
 func movePurpose(id model.TargetID) string { return "move " + string(id) }
 
 // regrantRevoked gives slots that a target refuses, because an earlier lessor revoked them and did not finish the move, a
--- a/internal/control/records.go
+++ b/internal/control/records.go
@@ -18,7 +18,7 @@
 		s.end = max(s.end, read.End-1)
 	}
 	n.foldEntries(s, read.Entries)
-	if s.fold.Offset()+1 >= read.End {
+	if read.End > 0 && s.fold.Offset()+1 >= read.End {
 		s.synced = true
 	}
 }
@@ -141,7 +141,7 @@
 		}
 	}
 	if reassign.Evidence == record.EvidenceLapsed || reassign.Evidence == record.EvidenceGone {
-		n.emit(Notice{Kind: NoticeTakeover, Count: len(reassign.Moves)})
+		n.emit(Notice{Kind: NoticeTakeover, Count: len(reassign.Moves), Evidence: reassign.Evidence})
 	}
 	for _, state := range n.targets {
 		n.releaseIfEmptied(state)
--- a/internal/control/table.go
+++ b/internal/control/table.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"github.com/tarragonpoint/tarragonpoint/internal/cell"
 	"github.com/tarragonpoint/tarragonpoint/internal/config"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
 	"github.com/tarragonpoint/tarragonpoint/internal/route"
@@ -52,6 +53,7 @@
 			Keyed:       service.Keyed,
 			Slots:       service.Slots,
 			Concurrency: service.Concurrency,
+			Timeout:     service.Timeout,
 		}
 	}
 	for name, tenant := range state.Tenants {
@@ -116,7 +118,7 @@
 		slots := make(map[model.Slot]route.SlotLease, len(holding.Slots))
 		for slot, held := range holding.Slots {
 			if _, moving := state.moves[slot]; !moving {
-				slots[slot] = route.SlotLease{Fence: held.Fence, Since: held.Since}
+				slots[slot] = route.SlotLease{Fence: held.Fence, Since: held.Since, Previous: held.Previous}
 			}
 		}
 		table.Leases[id] = route.Lease{
@@ -126,10 +128,21 @@
 			LocalEnd:    holding.LocalEnd,
 			Limit:       state.ramp.limit(n.now, n.service(state)),
 			Slots:       slots,
+			Successor:   n.successor(state),
 		}
 	}
 }
 
+// successor returns the member that acts for a target when this VM leaves: the first of the others that is alive.
+func (n *Node) successor(state *targetState) model.VMID {
+	for _, vm := range cell.Rank(state.id, n.assign.state.Members(state.config.Zone)) {
+		if vm != n.settings.VM && n.isAlive(vm) {
+			return vm
+		}
+	}
+	return ""
+}
+
 func (n *Node) peerRegions(state config.State) map[model.VMID]model.Region {
 	regions := map[model.VMID]model.Region{n.settings.VM: n.settings.Region}
 	for vm, p := range n.peers {
--- /dev/null
+++ b/internal/entry/policy.go
@@ -0,0 +1,126 @@
+package entry
+
+import (
+	"sync"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/admission"
+	"github.com/tarragonpoint/tarragonpoint/internal/balance"
+	"github.com/tarragonpoint/tarragonpoint/internal/config"
+	"github.com/tarragonpoint/tarragonpoint/internal/kernel"
+	"github.com/tarragonpoint/tarragonpoint/internal/logging"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/retry"
+	"github.com/tarragonpoint/tarragonpoint/internal/route"
+)
+
+// retryFloor is the number of retries a second that a service may always make, so that a quiet service can retry at all.
+const retryFloor = 1
+
+// servicePolicy is the load policy's state for one service.
+type servicePolicy struct {
+	tracker *balance.Tracker
+	budget  *retry.Budget
+	hedger  *retry.Hedger
+	latency *latencies
+}
+
+// policies holds the load policies of this entry VM, by service, as the rules in force set them.
+type policies struct {
+	clock   clock
+	log     *logging.Logger
+	limiter *admission.Limiter
+
+	mu       sync.RWMutex
+	version  model.Offset
+	rules    config.Rules
+	choice   balance.Policy
+	spill    *balance.SpillBudget
+	services map[model.Service]*servicePolicy
+}
+
+func newPolicies(c clock, log *logging.Logger) *policies {
+	return &policies{
+		clock:    c,
+		log:      log,
+		limiter:  admission.NewLimiter(),
+		choice:   balance.NewP2C(),
+		services: map[model.Service]*servicePolicy{},
+	}
+}
+
+// update brings the policies in line with a routing table and its configuration.
+func (p *policies) update(table *route.Table, state config.State) {
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.version != state.Version || len(p.services) == 0 {
+		p.version = state.Version
+		p.applyRules(now, state)
+	}
+	for name, service := range table.Services {
+		known, found := p.services[name]
+		if !found {
+			continue
+		}
+		ids := make([]model.TargetID, 0, len(service.Targets))
+		for _, candidate := range service.Targets {
+			ids = append(ids, candidate.ID)
+			if candidate.Status != nil {
+				known.tracker.Report(now, candidate.ID, candidate.Status.Load)
+			}
+		}
+		known.tracker.Retain(ids)
+	}
+}
+
+// applyRules takes the rules in force. Budgets start anew, which allows at most one extra burst for each change.
+func (p *policies) applyRules(now model.Instant, state config.State) {
+	p.rules = state.Rules
+	p.spill = balance.NewSpillBudget(state.Rules.SpillBytesPerSecond, now)
+	if choice, err := kernel.New[balance.Policy](kernel.ID(state.Rules.Balance)); err == nil {
+		p.choice = choice
+	} else {
+		p.log.Error("The rules name an unknown balance plug-in; the policy stays as it is.", logging.SystemError(err))
+	}
+	services := make(map[model.Service]*servicePolicy, len(state.Services))
+	for name := range state.Services {
+		known, found := p.services[name]
+		if !found {
+			known = &servicePolicy{tracker: balance.NewTracker(state.Rules.MaxEjectedPercent), latency: newLatencies()}
+		}
+		known.budget = retry.NewBudget(state.Rules.RetryPercent, retryFloor, now)
+		known.hedger = retry.NewHedger(state.Rules.HedgePercent, now)
+		services[name] = known
+	}
+	p.services = services
+	p.limiter.SetLimits(now, defaultLimits(state.Rules), tenantLimits(state))
+}
+
+func defaultLimits(rules config.Rules) admission.Limits {
+	return admission.Limits{Rate: rules.DefaultRateLimit, Concurrency: rules.DefaultConcurrencyLimit}
+}
+
+func tenantLimits(state config.State) map[admission.Key]admission.Limits {
+	limits := map[admission.Key]admission.Limits{}
+	for name, tenant := range state.Tenants {
+		if tenant.RateLimit == 0 && tenant.ConcurrencyLimit == 0 {
+			continue
+		}
+		own := defaultLimits(state.Rules)
+		if tenant.RateLimit > 0 {
+			own.Rate = tenant.RateLimit
+		}
+		if tenant.ConcurrencyLimit > 0 {
+			own.Concurrency = tenant.ConcurrencyLimit
+		}
+		limits[admission.Key{Tenant: name, Class: admission.AllClasses}] = own
+	}
+	return limits
+}
+
+// service returns the state of a service; nil if the configuration does not have it.
+func (p *policies) service(name model.Service) *servicePolicy {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return p.services[name]
+}
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -67,12 +67,16 @@
 	version    uint64
 	slots      map[model.Slot]slotHold
 	stopped    bool
+	// previous is the term that the target held before this process became its lessor; zero if unknown. It applies to the
+	// slots of the next extension only.
+	previous model.Term
 }
 
 // slotHold is a slot that the target holds under a renewal of this process.
 type slotHold struct {
-	fence model.Fence
-	since model.Instant
+	fence    model.Fence
+	since    model.Instant
+	previous model.Term
 }
 
 // NewKeeper returns a keeper that knows nothing of its target.
@@ -139,6 +143,9 @@
 	}
 	k.latest = &reading{clock: reply.Clock, sentAt: answered.sentAt, receivedAt: now}
 	continuous := k.continues(reply)
+	if !continuous {
+		k.previous = k.predecessor(answered, reply)
+	}
 	k.held = answered.request.Term
 	k.uncertain = false
 	if !answered.extends || answered.request.Incarnation != reply.Incarnation {
@@ -194,6 +201,15 @@
 	return !k.uncertain && k.held != (model.Term{}) && reply.PreviousTerm == k.held
 }
 
+// predecessor returns the term that the target held before this process's claim, or zero if an earlier copy of the claim
+// may have replaced it.
+func (k *Keeper) predecessor(answered call, reply target.RenewReply) model.Term {
+	if k.uncertain || reply.PreviousTerm == answered.request.Term {
+		return model.Term{}
+	}
+	return reply.PreviousTerm
+}
+
 func (k *Keeper) loseSlots(continuous bool) {
 	if !continuous {
 		k.slots = map[model.Slot]slotHold{}
@@ -217,12 +233,13 @@
 		}
 		hold, known := k.slots[grant.Slot]
 		if !continuous || !known || hold.fence != grant.Fence {
-			hold = slotHold{fence: grant.Fence, since: now}
+			hold = slotHold{fence: grant.Fence, since: now, previous: k.previous}
 			changed = true
 		}
 		slots[grant.Slot] = hold
 	}
 	changed = changed || len(slots) != len(k.slots)
+	k.previous = model.Term{}
 	k.slots = slots
 	return changed
 }
@@ -289,6 +306,8 @@
 type Held struct {
 	Fence model.Fence
 	Since model.Instant
+	// Previous is the term that the target held before this process became the lessor; zero if unknown.
+	Previous model.Term
 }
 
 // Holding returns the lease that this process keeps, if it is surely valid now.
@@ -305,7 +324,7 @@
 		Slots:       make(map[model.Slot]Held, len(k.slots)),
 	}
 	for slot, hold := range k.slots {
-		holding.Slots[slot] = Held{Fence: hold.fence, Since: hold.since}
+		holding.Slots[slot] = Held{Fence: hold.fence, Since: hold.since, Previous: hold.previous}
 	}
 	return holding, true
 }
--- a/internal/platform/follow.go
+++ b/internal/platform/follow.go
@@ -38,6 +38,8 @@
 	Wait time.Duration
 	// Expired may be nil; the follower then goes on from the oldest record.
 	Expired ExpiredFunc
+	// Observe is called after each read; nil ignores them. The records of the reply have been delivered.
+	Observe func(stream record.Stream, reply ReadReply, err error)
 	// Pause replaces the timer in tests. It returns false if ctx ended.
 	Pause func(ctx context.Context, pause time.Duration) bool
 }
@@ -50,6 +52,7 @@
 	for ctx.Err() == nil {
 		reply, err := f.Log.Read(ctx, f.Stream, next, defaultBatch, f.Wait)
 		if err != nil {
+			f.Observe(f.Stream, reply, err)
 			var resumed bool
 			next, resumed = f.resume(ctx, err, next, reply.Oldest)
 			if resumed {
@@ -66,6 +69,7 @@
 			}
 			next = stored.Offset + 1
 		}
+		f.Observe(f.Stream, reply, nil)
 		if len(reply.Records) == 0 {
 			f.Pause(ctx, jitter(emptyPause))
 		}
@@ -94,6 +98,9 @@
 			return oldest, nil
 		}
 	}
+	if f.Observe == nil {
+		f.Observe = func(record.Stream, ReadReply, error) {}
+	}
 	if f.Pause == nil {
 		f.Pause = pause
 	}
--- a/internal/platform/watermill.go
+++ b/internal/platform/watermill.go
@@ -7,6 +7,7 @@
 	"context"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/ThreeDotsLabs/watermill/message"
 
@@ -50,6 +51,10 @@
 	From func(stream record.Stream) model.Offset
 	// Expired loads a snapshot; see ExpiredFunc.
 	Expired ExpiredFunc
+	// Wait is the length of a long poll; 0 means 10 s.
+	Wait time.Duration
+	// Observe is called after each read; see Follower.
+	Observe func(stream record.Stream, reply ReadReply, err error)
 
 	mutex   sync.Mutex
 	closing bool
@@ -69,7 +74,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	s.cancels = append(s.cancels, cancel)
-	follower := Follower{Log: s.Log, Stream: record.Stream(topic), Expired: s.Expired}
+	follower := Follower{Log: s.Log, Stream: record.Stream(topic), Expired: s.Expired, Wait: s.Wait, Observe: s.Observe}
 	if s.From != nil {
 		follower.From = s.From(follower.Stream)
 	}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -71,6 +71,8 @@
 	// Limit is the number of concurrent requests allowed now; below the service's concurrency during a cold start.
 	Limit int
 	Slots map[model.Slot]SlotLease
+	// Successor is the entry VM that acts for the target when this one leaves; empty if there is none.
+	Successor model.VMID
 }
 
 // Service is a service as the request path sees it.
