Serve the whole path through separate processes

Cause: the entry role had only been built. First run with 4 entry VMs in two zones, 6 targets, log service and VM list as processes: a shared -peers list was refused because it named the VM itself, and /admin answered 404 because the front mounts the handler with its prefix removed. Ruled out: a per-VM peer list (operators would have to edit it for each VM).

--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -49,13 +49,13 @@
 	Why string `json:"why"`
 }
 
-// adminHandler serves the operators' questions from the current routing table.
+// adminHandler serves the operators' questions from the current routing table. The front mounts it at /admin.
 func adminHandler(table func() *route.Table) http.Handler {
 	router := chi.NewRouter()
-	router.Get("/admin/status", func(w http.ResponseWriter, _ *http.Request) {
+	router.Get("/status", func(w http.ResponseWriter, _ *http.Request) {
 		answerJSON(w, http.StatusOK, statusOf(table()))
 	})
-	router.Get("/admin/owner", func(w http.ResponseWriter, r *http.Request) {
+	router.Get("/owner", func(w http.ResponseWriter, r *http.Request) {
 		query := r.URL.Query()
 		answer, code := ownerOf(table(), model.Service(query.Get("service")), query.Get("key"), model.Tenant(query.Get("tenant")))
 		if code != result.OK {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -107,6 +107,9 @@
 func nodeSettings(configured settings.Entry) control.Settings {
 	seeds := make(map[model.VMID]string, len(configured.Peers))
 	for _, known := range configured.Peers {
+		if known.VM == configured.VM {
+			continue
+		}
 		seeds[known.VM] = known.Address
 	}
 	return control.Settings{
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -105,12 +105,12 @@
 }
 
 func (c *checker) peers(entry Entry) {
-	seen := map[model.VMID]bool{entry.VM: true}
+	seen := map[model.VMID]bool{}
 	for _, peer := range entry.Peers {
 		c.name("peers", string(peer.VM))
 		c.address("peers", peer.Address)
 		if seen[peer.VM] {
-			c.add("peers", "VM %q is named twice or is this VM", peer.VM)
+			c.add("peers", "VM %q is named twice", peer.VM)
 		}
 		seen[peer.VM] = true
 	}
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -26,7 +26,7 @@
 	// LogURL and VMListURL are the base URLs of the platform's services.
 	LogURL    string
 	VMListURL string
-	// Peers are the other entry VMs that are known at the start.
+	// Peers are the entry VMs that are known at the start. This VM may be among them, so that all VMs can share the list.
 	Peers []Peer
 	// PeerKeys authenticate entry VMs. The first signs, all verify.
 	PeerKeys Keys
