Compute rankings and the order of targets once for each change

Cause: each step of control.Node, one for every message, answer and tick, sorted all targets four times and ranked the members of the own cells for each target. Each folded Reassign looked for every moved slot in every target's planned moves. Now the order is kept until the configuration changes, the ranking until the cell's epoch changes, and targets without planned moves are passed over. Decisions are the same: a ranking depends only on the target and the cell's members, and these change only with the epoch.

Ruled out: running advance only on ticks. It would delay reactions to messages and change the order of effects.

--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -23,6 +23,11 @@
 	term   model.Term
 	silent bool
 
+	// ranked are the members of the cell rankedFor by rank at its epoch rankedAt.
+	ranked    []model.VMID
+	rankedFor model.Zone
+	rankedAt  model.Offset
+
 	grants        []target.Grant
 	grantsVersion uint64
 	// grantsAt is the assign offset for which grants were computed; 0 if they must be computed again.
@@ -57,6 +62,7 @@
 			delete(n.statuses, id)
 		}
 	}
+	n.targetIDs = sortedKeys(n.targets)
 }
 
 func (n *Node) zoneOf(id model.TargetID) model.Zone { return n.targets[id].config.Zone }
@@ -64,7 +70,7 @@
 // keepLeases decides for each target whether this VM acts as its lessor, and sends the renewals that are due.
 func (n *Node) keepLeases() {
 	ranks := map[model.Zone][]record.Member{}
-	for _, id := range sortedKeys(n.targets) {
+	for _, id := range n.targetIDs {
 		state := n.targets[id]
 		zone := state.config.Zone
 		members, known := ranks[zone]
@@ -99,7 +105,7 @@
 	if n.leaving || !n.isMember(zone) {
 		return false, model.Term{}
 	}
-	ranked := cell.Rank(state.id, members)
+	ranked := n.ranking(state, members)
 	own := 0
 	for ranked[own] != n.settings.VM {
 		own++
@@ -128,6 +134,18 @@
 	return true, term
 }
 
+// ranking returns the members of a target's cell by rank. It is kept until the members, and so the cell's epoch, change.
+func (n *Node) ranking(state *targetState, members []record.Member) []model.VMID {
+	zone := state.config.Zone
+	epoch := n.assign.state.CellEpoch(zone)
+	if state.rankedFor != zone || state.rankedAt != epoch {
+		state.ranked = cell.Rank(state.id, members)
+		state.rankedFor = zone
+		state.rankedAt = epoch
+	}
+	return state.ranked
+}
+
 // nextRank returns the lowest rank above refused that belongs to the member with rank own among count members. Ranks
 // beyond count let a member act again after one with a higher rank was lost within the same cell epoch.
 func nextRank(refused, own, count uint16) uint16 {
--- a/internal/control/moves.go
+++ b/internal/control/moves.go
@@ -66,7 +66,7 @@
 
 // runMoves drives the planned moves of each target: revoke, hand the at-most-once table over, append.
 func (n *Node) runMoves() {
-	for _, id := range sortedKeys(n.targets) {
+	for _, id := range n.targetIDs {
 		state := n.targets[id]
 		if len(state.moves) == 0 {
 			continue
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -51,8 +51,10 @@
 	peers    map[model.VMID]*peer
 	watch    *vmWatch
 
-	targets  map[model.TargetID]*targetState
-	statuses map[model.TargetID]*knownStatus
+	targets map[model.TargetID]*targetState
+	// targetIDs are the keys of targets, in order.
+	targetIDs []model.TargetID
+	statuses  map[model.TargetID]*knownStatus
 	// cellChanged is when this VM folded the last change of each cell's members.
 	cellChanged map[model.Zone]model.Instant
 	sequence    uint64
--- a/internal/control/records.go
+++ b/internal/control/records.go
@@ -117,7 +117,7 @@
 // onCellChange voids all that rests on the old cell epoch: statements, takeovers and stops.
 func (n *Node) onCellChange(zone model.Zone) {
 	n.cellChanged[zone] = n.now
-	for _, id := range sortedKeys(n.targets) {
+	for _, id := range n.targetIDs {
 		state := n.targets[id]
 		if n.zoneOf(id) != zone {
 			continue
@@ -136,9 +136,9 @@
 		if state, ok := n.targets[move.To]; ok {
 			state.keeper.Hurry(n.now)
 		}
-		for _, state := range n.targets {
-			delete(state.moves, move.Slot)
-		}
+	}
+	for _, state := range n.targets {
+		dropMoved(state, reassign.Moves)
 	}
 	if reassign.Evidence == record.EvidenceLapsed || reassign.Evidence == record.EvidenceGone {
 		n.emit(Notice{Kind: NoticeTakeover, Count: len(reassign.Moves)})
@@ -148,6 +148,16 @@
 	}
 }
 
+// dropMoved ends the planned moves of slots that have been moved. Most targets have none.
+func dropMoved(state *targetState, moved []record.Move) {
+	if len(state.moves) == 0 {
+		return
+	}
+	for _, move := range moved {
+		delete(state.moves, move.Slot)
+	}
+}
+
 // releaseIfEmptied ends a takeover, and a stop stated for it, once the target owns no slots any more.
 func (n *Node) releaseIfEmptied(state *targetState) {
 	if n.assign.state.OwnedCount(state.id) > 0 {
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -72,7 +72,7 @@
 		return
 	}
 	var update message.StatusUpdate
-	for _, id := range sortedKeys(n.targets) {
+	for _, id := range n.targetIDs {
 		state := n.targets[id]
 		if !state.acting || !(full || n.pendingStats[id]) {
 			continue
--- a/internal/control/takeover.go
+++ b/internal/control/takeover.go
@@ -50,7 +50,7 @@
 
 // takeOver moves slots away from targets that do not answer, once there is evidence that they cannot act any more.
 func (n *Node) takeOver() {
-	for _, id := range sortedKeys(n.targets) {
+	for _, id := range n.targetIDs {
 		state := n.targets[id]
 		n.remindStop(state)
 		if !state.acting && !n.outbox.has(takeoverPurpose(id)) {
