Share the owners of slots between routing tables of the same assignments

Cause: control.Node built the whole routing table at least five times a second and after every change of a status, at most 40 times a second; copying the owner of each slot took most of it. Owners may point to targets with an older status, so Resolve and the new Table.OwnerOf return the target of the table itself; closing.go uses OwnerOf.

Ruled out: a target ID in route.Owner, which changes a type that other packages use; changing targets in place, since readers hold tables without a lock.

--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -240,11 +240,13 @@
 		b.Run(fmt.Sprintf("nodes=%d", size.nodes), func(b *testing.B) {
 			r := newBenchRig(b, size, size.entries()-1)
 			r.second()
+			r.node.table = nil
 			before := heapBytes()
 			table := r.node.buildTable()
 			memory := heapBytes() - before
 			require.Len(b, table.Owners, size.slots())
 			for b.Loop() {
+				r.node.table = nil
 				r.node.buildTable()
 			}
 			b.ReportMetric(float64(memory)/1e6, "table-MB")
@@ -253,6 +255,19 @@
 	}
 }
 
+// BenchmarkRefreshTable measures a routing table after a change of a status only.
+func BenchmarkRefreshTable(b *testing.B) {
+	for _, size := range benchSizes {
+		b.Run(fmt.Sprintf("nodes=%d", size.nodes), func(b *testing.B) {
+			r := newBenchRig(b, size, size.entries()-1)
+			r.second()
+			for b.Loop() {
+				r.node.buildTable()
+			}
+		})
+	}
+}
+
 // BenchmarkSecond measures one second of a member and of the planner without changes, and reports the bytes of the
 // messages sent, the renewals, and the memory of the node.
 func BenchmarkSecond(b *testing.B) {
--- a/internal/dispatch/closing.go
+++ b/internal/dispatch/closing.go
@@ -109,8 +109,8 @@
 // closeID answers as the lessor. result.NotReady means that the lease was confirmed too long ago for this ID.
 func (d *Dispatcher) closeID(ask *message.CloseID) message.ForwardReply {
 	table := d.current.Load().table
-	owner := table.Owners[ask.Slot]
-	if owner.Target == nil {
+	owner, owned := table.OwnerOf(ask.Slot)
+	if !owned {
 		return refusal(ask.Attempt, result.OutcomeUnknown)
 	}
 	lease, held := table.Leases[owner.Target.ID]
--- a/internal/route/bench_test.go
+++ b/internal/route/bench_test.go
@@ -18,7 +18,10 @@
 // benchTable returns a table in which every slot of one service has an owner.
 func benchTable(slots int) *Table {
 	owner := &Target{ID: "target-00000", Service: benchService}
-	table := &Table{Owners: make(map[model.Slot]Owner, slots)}
+	table := &Table{
+		Owners:  make(map[model.Slot]Owner, slots),
+		Targets: map[model.TargetID]*Target{owner.ID: owner},
+	}
 	for i := range slots {
 		slot := model.Slot{Service: benchService, Class: model.AnyRegion, Index: uint32(i)}
 		table.Owners[slot] = Owner{Slot: slot, Fence: model.Fence(i), Target: owner}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -114,7 +114,8 @@
 	Services map[model.Service]*Service
 	Tenants  map[model.Tenant]*Tenant
 	Targets  map[model.TargetID]*Target
-	// Owners maps each assigned slot to its owner.
+	// Owners maps each assigned slot to its owner. Tables of the same assignments share it, so the status of its targets may
+	// be older than the table: Resolve and OwnerOf return the target as in Targets.
 	Owners map[model.Slot]Owner
 	// Leases holds the targets for which this VM is the lessor now.
 	Leases map[model.TargetID]Lease
@@ -125,9 +126,19 @@
 // Resolve returns the owner of a key. found is false if the slot has no owner.
 func (t *Table) Resolve(service *Service, class model.Class, keyHash uint64) (owner Owner, found bool) {
 	slot := model.HashSlot(service.Name, class, keyHash, service.Slots)
-	if owner, found = t.Owners[slot.Split(keyHash)]; found {
+	if owner, found = t.OwnerOf(slot.Split(keyHash)); found {
 		return owner, true
 	}
-	owner, found = t.Owners[slot]
-	return owner, found
+	return t.OwnerOf(slot)
+}
+
+// OwnerOf returns the owner of a slot with its current status. found is false if the slot has no owner.
+func (t *Table) OwnerOf(slot model.Slot) (owner Owner, found bool) {
+	if owner, found = t.Owners[slot]; !found {
+		return Owner{}, false
+	}
+	if current, known := t.Targets[owner.Target.ID]; known {
+		owner.Target = current
+	}
+	return owner, true
 }
