--- a/internal/assign/bench_test.go
+++ b/internal/assign/bench_test.go
@@ -60,6 +60,7 @@
 				state := benchState(slots)
 				first := 0
 				size := 0
+				b.ResetTimer()
 				for range b.N {
 					b.StopTimer()
 					data, err := record.Encode(benchMoves(state, first, moves))
