Fail slots over inside a cell while the log is down

Change: all members of the cell, and removed ones that are not known to be gone, agree on overrides: they first state that they do not renew the lost target's lease, then accept the new owners, and only when all have accepted may anybody grant the slots. A process that joined collects the overrides from all members before it acts as a lessor. The log takes the overrides over when it is back. Evidence "gone" from outside a cell now needs a cell whose members are all gone, since members that are only cut off may have failed over. Ruled out: a majority (a consensus group of the router's own, which the design excludes, and with two or three members it would need two); owners named in advance in the log (they would have to be alive and kept warm). Price: after the loss of all members of a cell that knew its overrides, their successors wait until the VM list shows the old ones gone. Before: not served again until the log is back.

--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -139,6 +139,7 @@
 	NoticeLogDown
 	NoticeLogUp
 	NoticeRemoved
+	NoticeFailedOver
 )
 
 var noticeSentences = map[NoticeKind]string{
@@ -153,6 +154,7 @@
 	NoticeLogDown:      "The log does not answer.",
 	NoticeLogUp:        "The log answers.",
 	NoticeRemoved:      "This VM was removed from its cell and joins again.",
+	NoticeFailedOver:   "Slots were failed over inside the cell while the log is down.",
 }
 
 // Sentence returns the log line of a notice.
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -34,6 +34,9 @@
 	// exclusive is the collection of statements that lets this VM act for a target that does not check terms.
 	exclusive *takeover
 
+	// proposal is the proposal of overrides for the slots of this target, while it is lost and the log is down.
+	proposal *proposal
+
 	moves          map[model.Slot]*slotMove
 	revokeSequence uint64
 	revokeInflight bool
@@ -96,7 +99,7 @@
 
 func (n *Node) role(state *targetState, members []record.Member) (acting bool, term model.Term) {
 	zone := state.config.Zone
-	if n.leaving || !n.isMember(zone) {
+	if n.leaving || !n.isMember(zone) || !n.isSynced(zone) {
 		return false, model.Term{}
 	}
 	ranked := cell.Rank(state.id, members)
@@ -121,7 +124,7 @@
 		term.Rank = nextRank(refused.Rank, uint16(own), uint16(len(ranked)))
 	}
 	for _, vm := range ranked[:own] {
-		if n.isAlive(vm) {
+		if n.mayLead(vm, zone) {
 			return false, term
 		}
 	}
@@ -150,7 +153,7 @@
 	if incarnation == 0 || incarnation == registered {
 		return
 	}
-	if n.assign.state.OwnedCount(state.id) > 0 && n.now.Sub(firstSeen) < lease.Bound {
+	if len(n.slotsToRescue(state.id)) > 0 && n.now.Sub(firstSeen) < lease.Bound {
 		return
 	}
 	zone := state.config.Zone
@@ -199,7 +202,7 @@
 	state.grantsAt = n.assign.Offset()
 	before := state.grantsVersion
 	state.grants = nil
-	for _, slot := range n.assign.state.Owned(state.id) {
+	for _, slot := range n.slotsOf(state.id) {
 		if _, moving := state.moves[slot]; moving {
 			continue
 		}
--- a/internal/control/moves.go
+++ b/internal/control/moves.go
@@ -22,7 +22,7 @@
 func (n *Node) startMoves(moves []record.Move) {
 	for _, move := range moves {
 		ownership, owned := n.assign.state.Slots[move.Slot]
-		if !owned || ownership.Epoch != move.BaseEpoch || ownership.Owner == move.To {
+		if !owned || ownership.Epoch != move.BaseEpoch || ownership.Owner == move.To || n.activeOverride(move.Slot) != nil {
 			continue
 		}
 		state, known := n.targets[ownership.Owner]
@@ -187,7 +187,8 @@
 	var moves []record.Move
 	for _, slot := range state.keeper.Reply().Revoked {
 		ownership, owned := n.assign.state.Slots[slot]
-		if _, moving := state.moves[slot]; moving || !owned || ownership.Owner != state.id {
+		_, moving := state.moves[slot]
+		if moving || !owned || ownership.Owner != state.id || n.activeOverride(slot) != nil {
 			continue
 		}
 		moves = append(moves, record.Move{Slot: slot, BaseEpoch: ownership.Epoch, To: state.id})
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -11,11 +11,16 @@
 	"github.com/tarragonpoint/tarragonpoint/internal/assign"
 	"github.com/tarragonpoint/tarragonpoint/internal/cell"
 	"github.com/tarragonpoint/tarragonpoint/internal/config"
+	"github.com/tarragonpoint/tarragonpoint/internal/message"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
 	"github.com/tarragonpoint/tarragonpoint/internal/record"
 	"github.com/tarragonpoint/tarragonpoint/internal/route"
 )
 
+// sequenceBits leaves room for the sequence numbers of one process below its incarnation, so that they never repeat after a
+// restart.
+const sequenceBits = 20
+
 // TickInterval is the longest time between two steps.
 const TickInterval = 25 * time.Millisecond
 
@@ -57,6 +62,12 @@
 	cellChanged map[model.Zone]model.Instant
 	sequence    uint64
 	hot         *hotKeys
+	syncs       map[model.Zone]*cellSync
+	// overrides are the owners that the members of this VM's cells agreed on while the log was down.
+	overrides map[model.Slot]*override
+	hints     map[model.Slot]overrideHint
+	// decisions are the outcomes of this VM's own proposals; true means committed.
+	decisions map[message.OverrideID]bool
 
 	logUp     bool
 	logSeenAt model.Instant
@@ -92,6 +103,11 @@
 		statuses:     map[model.TargetID]*knownStatus{},
 		cellChanged:  map[model.Zone]model.Instant{},
 		hot:          newHotKeys(),
+		syncs:        map[model.Zone]*cellSync{},
+		overrides:    map[model.Slot]*override{},
+		hints:        map[model.Slot]overrideHint{},
+		decisions:    map[message.OverrideID]bool{},
+		sequence:     uint64(settings.Incarnation) << sequenceBits,
 		snapshotAt:   map[record.Stream]model.Instant{},
 		knownPeers:   map[model.VMID]string{},
 		requestedAt:  map[model.Slot]model.Instant{},
@@ -154,9 +170,12 @@
 	n.retryAppends()
 	n.updatePeers()
 	n.maintainMembership()
+	n.syncCells()
+	n.maintainOverrides()
 	n.sendHeartbeats()
 	n.keepLeases()
 	n.takeOver()
+	n.settleOverrides()
 	n.runMoves()
 	n.plan()
 	n.sendStatuses()
--- a/internal/control/outbox.go
+++ b/internal/control/outbox.go
@@ -37,6 +37,21 @@
 	return false
 }
 
+// destination returns where a record under way would move a slot.
+func (o *outbox) destination(slot model.Slot) (to model.TargetID, pending bool) {
+	for _, item := range o.items {
+		if item.record.Reassign == nil {
+			continue
+		}
+		for _, move := range item.record.Reassign.Moves {
+			if move.Slot == slot {
+				return move.To, true
+			}
+		}
+	}
+	return "", false
+}
+
 // submit appends a record unless one for the same purpose is under way or the log is down.
 func (n *Node) submit(stream record.Stream, purpose string, r record.Record, obsolete func() bool) bool {
 	if !n.logUp || n.outbox.has(purpose) {
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -49,6 +49,26 @@
 		n.startMoves(m.MoveRequest.Moves)
 	case m.HotKeys != nil:
 		n.hot.report(n.now, m.HotKeys.Keys)
+	default:
+		n.onOverrideMessage(received.From, m)
+	}
+}
+
+// onOverrideMessage handles the messages with which members agree on overrides.
+func (n *Node) onOverrideMessage(from model.VMID, m message.Message) {
+	switch {
+	case m.SyncQuery != nil:
+		n.onSyncQuery(from, *m.SyncQuery)
+	case m.SyncReply != nil:
+		n.onSyncReply(from, *m.SyncReply)
+	case m.OverridePrepare != nil:
+		n.onOverridePrepare(from, *m.OverridePrepare)
+	case m.OverrideAccept != nil:
+		n.onOverrideAccept(from, *m.OverrideAccept)
+	case m.OverrideQuery != nil:
+		n.onOverrideQuery(from, *m.OverrideQuery)
+	case m.OverrideDecision != nil:
+		n.onOverrideDecision(from, *m.OverrideDecision)
 	}
 }
 
@@ -119,6 +139,7 @@
 		Leaving:      n.leaving,
 		Zone:         n.settings.Zone,
 		Address:      n.settings.Address,
+		Synced:       n.syncedCells(),
 	}}
 }
 
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -64,6 +64,9 @@
 		*unowned = append(*unowned, move)
 		return
 	}
+	if n.activeOverride(planned.Slot) != nil {
+		return
+	}
 	status := n.currentStatus(planned.From)
 	if status == nil || !status.Serving {
 		return
@@ -97,11 +100,12 @@
 	return classes
 }
 
-// destinations returns moves that take all slots from a target.
-func (n *Node) destinations(from model.TargetID) []record.Move {
+// destinations returns moves that take all slots from a target to targets that may receive them. A slot whose override is
+// not decided goes where the override would have sent it.
+func (n *Node) destinations(from model.TargetID, mayReceive func(config.Target) bool) []record.Move {
 	wanted := map[model.Slot]bool{}
 	classes := map[model.Class]bool{}
-	for _, slot := range n.assign.state.Owned(from) {
+	for _, slot := range n.slotsToRescue(from) {
 		wanted[slot] = true
 		classes[slot.Class] = true
 	}
@@ -111,14 +115,19 @@
 	for _, class := range sortedKeys(classes) {
 		input := n.placementInput(service, class, 0)
 		for i := range input.Targets {
-			if input.Targets[i].ID == from {
+			candidate := state.Targets[input.Targets[i].ID]
+			if candidate.ID == from || !mayReceive(candidate) {
 				input.Targets[i].Alive = false
 			}
 		}
 		for _, planned := range placement.Plan(input) {
 			if wanted[planned.Slot] && planned.To != from {
 				epoch := n.assign.state.Slots[planned.Slot].Epoch
-				moves = append(moves, record.Move{Slot: planned.Slot, BaseEpoch: epoch, To: planned.To})
+				to := planned.To
+				if known := n.activeOverride(planned.Slot); known != nil && !known.Committed {
+					to = known.To
+				}
+				moves = append(moves, record.Move{Slot: planned.Slot, BaseEpoch: epoch, To: to})
 			}
 		}
 	}
@@ -153,12 +162,20 @@
 func (n *Node) placementSlot(slot model.Slot, pins map[model.Slot]model.TargetID) placement.Slot {
 	return placement.Slot{
 		ID:    slot,
-		Owner: n.assign.state.Slots[slot].Owner,
+		Owner: n.plannedOwner(slot),
 		Pin:   pins[slot],
 		Rate:  n.hot.rate(slot),
 	}
 }
 
+// plannedOwner returns the owner of a slot for the planner; that of the log while an override is not decided.
+func (n *Node) plannedOwner(slot model.Slot) model.TargetID {
+	if owner := n.ownerOf(slot); owner != "" {
+		return owner
+	}
+	return n.assign.state.Slots[slot].Owner
+}
+
 func (n *Node) placementTarget(state config.State, configured config.Target) placement.Target {
 	status := n.currentStatus(configured.ID)
 	return placement.Target{
--- a/internal/control/records.go
+++ b/internal/control/records.go
@@ -122,6 +122,7 @@
 		if n.zoneOf(id) != zone {
 			continue
 		}
+		n.abortProposal(state)
 		state.takeover = nil
 		state.stopFor = nil
 		state.exclusive = nil
@@ -150,7 +151,7 @@
 
 // releaseIfEmptied ends a takeover, and a stop stated for it, once the target owns no slots any more.
 func (n *Node) releaseIfEmptied(state *targetState) {
-	if n.assign.state.OwnedCount(state.id) > 0 {
+	if len(n.slotsToRescue(state.id)) > 0 {
 		return
 	}
 	if state.takeover != nil || state.stopFor != nil {
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -39,6 +39,12 @@
 
 // onStatusUpdate takes statuses from their lessor. Older terms and sequences are dropped.
 func (n *Node) onStatusUpdate(update message.StatusUpdate) {
+	for _, reported := range update.Overrides {
+		if hint, known := n.hints[reported.Slot]; !known || hint.Override != reported {
+			n.dirty = true
+		}
+		n.hints[reported.Slot] = overrideHint{Override: reported, at: n.now}
+	}
 	for _, received := range update.Statuses {
 		known, ok := n.statuses[received.Target]
 		if ok && !supersedes(received.Status, known.status) {
@@ -80,6 +86,7 @@
 		status := n.ownStatus(state)
 		n.statuses[id] = &knownStatus{status: status, receivedAt: n.now}
 		update.Statuses = append(update.Statuses, message.TargetStatus{Target: id, Status: status})
+		update.Overrides = append(update.Overrides, n.committedTo(id)...)
 	}
 	n.statusAt = n.now
 	n.pendingStats = map[model.TargetID]bool{}
--- /dev/null
+++ b/internal/control/sync.go
@@ -0,0 +1,108 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/message"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+)
+
+// syncInterval is the time between two queries to members that have not answered.
+const syncInterval = 200 * time.Millisecond
+
+// cellSync collects the overrides that the other members of a cell know. A process that joined must not act as a lessor
+// before, because an override that it does not know may have given a slot to another target.
+type cellSync struct {
+	done    bool
+	epoch   model.Offset
+	askedAt model.Instant
+	replied map[model.VMID]bool
+}
+
+// isSynced reports whether this process may act as a lessor in a cell that it is a member of.
+func (n *Node) isSynced(zone model.Zone) bool {
+	s, ok := n.syncs[zone]
+	return ok && s.done
+}
+
+// syncCells asks the other members of newly joined cells for their overrides. Once done it stays done: a process that was
+// removed and joins again took part in every override in between, or it did not come about.
+func (n *Node) syncCells() {
+	for _, zone := range sortedKeys(n.assign.state.Cells) {
+		if !n.isMember(zone) || n.isSynced(zone) {
+			continue
+		}
+		n.syncCell(zone)
+	}
+}
+
+func (n *Node) syncCell(zone model.Zone) {
+	s, known := n.syncs[zone]
+	if !known {
+		s = &cellSync{epoch: n.assign.state.CellEpoch(zone), replied: map[model.VMID]bool{}}
+		n.syncs[zone] = s
+	}
+	missing := slices.DeleteFunc(n.mayRenew(zone), func(vm model.VMID) bool { return s.replied[vm] })
+	if len(missing) == 0 {
+		s.done = true
+		n.dirty = true
+		n.heartbeatAt = 0
+		return
+	}
+	if s.askedAt != 0 && n.now.Sub(s.askedAt) < syncInterval {
+		return
+	}
+	s.askedAt = n.now
+	for _, vm := range missing {
+		n.send(vm, message.Message{SyncQuery: &message.SyncQuery{Cell: zone, CellEpoch: s.epoch}})
+	}
+}
+
+// onSyncQuery answers only when this VM has folded the sender's join: from then on it takes part in no override of an older
+// cell epoch, so the sender learns of all of them.
+func (n *Node) onSyncQuery(from model.VMID, query message.SyncQuery) {
+	if n.assign.state.CellEpoch(query.Cell) < query.CellEpoch {
+		return
+	}
+	reply := message.SyncReply{Cell: query.Cell, CellEpoch: query.CellEpoch}
+	for _, slot := range sortedSlots(n.overrides) {
+		reply.Overrides = append(reply.Overrides, n.overrides[slot].Override)
+	}
+	n.send(from, message.Message{SyncReply: &reply})
+}
+
+func (n *Node) onSyncReply(from model.VMID, reply message.SyncReply) {
+	s, known := n.syncs[reply.Cell]
+	if !known || s.done || s.epoch != reply.CellEpoch {
+		return
+	}
+	s.replied[from] = true
+	for _, known := range reply.Overrides {
+		n.learnOverride(known)
+	}
+}
+
+// syncedCells returns the cells in which this process may act.
+func (n *Node) syncedCells() []model.Zone {
+	var zones []model.Zone
+	for _, zone := range sortedKeys(n.syncs) {
+		if n.isSynced(zone) && n.isMember(zone) {
+			zones = append(zones, zone)
+		}
+	}
+	return zones
+}
+
+// mayLead reports whether a member of a cell is able to act as a lessor: it is alive, and it has not said that it is still
+// collecting overrides.
+func (n *Node) mayLead(vm model.VMID, zone model.Zone) bool {
+	if vm == n.settings.VM {
+		return n.isSynced(zone)
+	}
+	if !n.isAlive(vm) {
+		return false
+	}
+	p, known := n.peers[vm]
+	return !known || slices.Contains(p.beat.Synced, zone)
+}
--- a/internal/control/table.go
+++ b/internal/control/table.go
@@ -101,7 +101,7 @@
 func (n *Node) addOwners(table *route.Table) {
 	table.Owners = make(map[model.Slot]route.Owner, len(n.assign.state.Slots))
 	for slot, ownership := range n.assign.state.Slots {
-		owner, known := table.Targets[ownership.Owner]
+		owner, known := table.Targets[n.ownerOf(slot)]
 		if !known {
 			continue
 		}
--- a/internal/control/takeover.go
+++ b/internal/control/takeover.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/tarragonpoint/tarragonpoint/internal/config"
 	"github.com/tarragonpoint/tarragonpoint/internal/lease"
 	"github.com/tarragonpoint/tarragonpoint/internal/message"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
@@ -56,10 +57,10 @@
 		if !state.acting && !n.outbox.has(takeoverPurpose(id)) {
 			n.release(state)
 		}
-		if n.assign.state.OwnedCount(id) == 0 || !n.logUp {
+		if len(n.slotsToRescue(id)) == 0 {
 			continue
 		}
-		if n.takeOverGone(state) || !state.acting {
+		if n.logUp && n.takeOverGone(state) || !state.acting {
 			continue
 		}
 		n.takeOverLapsed(state)
@@ -68,7 +69,8 @@
 
 // takeOverLapsed handles a target of an own cell that has been silent.
 func (n *Node) takeOverLapsed(state *targetState) {
-	if state.keeper.Failures() < suspectFailures || state.stopFor != nil {
+	if !n.isLost(state) || state.stopFor != nil {
+		n.abortProposal(state)
 		return
 	}
 	if state.takeover == nil {
@@ -79,11 +81,16 @@
 	if !n.isLapsed(state, state.takeover) {
 		return
 	}
-	n.reassignFrom(state, record.EvidenceLapsed)
+	if n.logUp {
+		n.abortProposal(state)
+		n.reassignFrom(state, record.EvidenceLapsed)
+		return
+	}
+	n.failOver(state)
 }
 
-// takeOverGone handles a target whose VM the list no longer has. Outside the target's cell that needs a cell without
-// reachable members, else the cell's own lessor does it.
+// takeOverGone handles a target whose VM the list no longer has. Outside the target's cell that needs a cell whose members
+// are all gone: members that are only cut off may have failed the slots over among their targets.
 func (n *Node) takeOverGone(state *targetState) bool {
 	if !n.watch.isGone(state.config.VM) || state.keeper.AnsweredWithin(n.now, lease.Duration) {
 		return false
@@ -91,19 +98,15 @@
 	if status := n.currentStatus(state.id); status != nil && status.Serving {
 		return false
 	}
-	if !state.acting && (!n.isPlanner() || n.hasReachableMember(state.config.Zone)) {
+	if !state.acting && (!n.isPlanner() || n.hasMembers(state.config.Zone)) {
 		return false
 	}
 	return n.reassignFrom(state, record.EvidenceGone)
 }
 
-func (n *Node) hasReachableMember(zone model.Zone) bool {
-	for _, member := range n.assign.state.Members(zone) {
-		if n.isReachable(member.VM) {
-			return true
-		}
-	}
-	return false
+// hasMembers reports whether a cell has members, or removed members that are not known to be gone.
+func (n *Node) hasMembers(zone model.Zone) bool {
+	return len(n.assign.state.Members(zone))+len(n.assign.state.Removed(zone)) > 0
 }
 
 // ask sends stop queries to all members of the cell that have not answered.
@@ -162,7 +165,7 @@
 	if n.outbox.has(takeoverPurpose(state.id)) {
 		return true
 	}
-	moves := n.destinations(state.id)
+	moves := n.destinations(state.id, func(config.Target) bool { return true })
 	if len(moves) == 0 {
 		return false
 	}
@@ -194,7 +197,7 @@
 
 // cancelTakeover ends a takeover when the target answers, unless a record that rests on it may already be in the log.
 func (n *Node) cancelTakeover(state *targetState) {
-	if !n.outbox.has(takeoverPurpose(state.id)) {
+	if !n.outbox.has(takeoverPurpose(state.id)) && !n.isLost(state) {
 		n.release(state)
 	}
 }
@@ -239,7 +242,7 @@
 	if n.outbox.has(takeoverPurpose(state.id)) {
 		return true
 	}
-	return state.acting && state.keeper.Failures() < suspectFailures && state.keeper.AnsweredWithin(n.now, lease.Duration)
+	return state.acting && !n.isLost(state) && state.keeper.AnsweredWithin(n.now, lease.Duration)
 }
 
 func (n *Node) onStopStatement(from model.VMID, statement message.StopStatement) {
@@ -293,6 +296,7 @@
 	if state.takeover == nil {
 		return
 	}
+	n.abortProposal(state)
 	for _, vm := range sortedKeys(state.takeover.endsBy) {
 		released := message.StopRelease{Target: state.id, Sequence: state.takeover.sequence}
 		n.send(vm, message.Message{StopRelease: &released})
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -27,6 +27,13 @@
 	HotKeys       *HotKeys       `cbor:"13,keyasint,omitempty"`
 	MoveRequest   *MoveRequest   `cbor:"14,keyasint,omitempty"`
 	StopRelease   *StopRelease   `cbor:"15,keyasint,omitempty"`
+
+	SyncQuery        *SyncQuery        `cbor:"16,keyasint,omitempty"`
+	SyncReply        *SyncReply        `cbor:"17,keyasint,omitempty"`
+	OverridePrepare  *OverridePrepare  `cbor:"18,keyasint,omitempty"`
+	OverrideAccept   *OverrideAccept   `cbor:"19,keyasint,omitempty"`
+	OverrideQuery    *OverrideQuery    `cbor:"20,keyasint,omitempty"`
+	OverrideDecision *OverrideDecision `cbor:"21,keyasint,omitempty"`
 }
 
 // Heartbeat says that a process is alive and how far it has folded the streams.
@@ -39,11 +46,15 @@
 	// Zone and Address let a starting VM learn its peers.
 	Zone    model.Zone `cbor:"5,keyasint,omitempty"`
 	Address string     `cbor:"6,keyasint,omitempty"`
+	// Synced lists the cells in which the sender may act as a lessor.
+	Synced []model.Zone `cbor:"7,keyasint,omitempty"`
 }
 
 // StatusUpdate carries changed statuses of targets from their lessor.
 type StatusUpdate struct {
 	Statuses []TargetStatus `cbor:"1,keyasint"`
+	// Overrides are the committed overrides in favor of the targets for which the sender acts.
+	Overrides []Override `cbor:"2,keyasint,omitempty"`
 }
 
 // TargetStatus is the status of one target.
@@ -189,3 +200,58 @@
 type MoveRequest struct {
 	Moves []record.Move `cbor:"1,keyasint"`
 }
+
+// SyncQuery asks a member of a cell for the overrides that it knows. The sender joined at the given cell epoch and acts as a
+// lessor only when all members have answered.
+type SyncQuery struct {
+	Cell      model.Zone   `cbor:"1,keyasint"`
+	CellEpoch model.Offset `cbor:"2,keyasint"`
+}
+
+// SyncReply answers a SyncQuery.
+type SyncReply struct {
+	Cell      model.Zone   `cbor:"1,keyasint"`
+	CellEpoch model.Offset `cbor:"2,keyasint"`
+	Overrides []Override   `cbor:"3,keyasint"`
+}
+
+// OverrideID identifies a proposal to override the owners of slots while the log is down.
+type OverrideID struct {
+	Proposer model.VMID `cbor:"1,keyasint"`
+	Sequence uint64     `cbor:"2,keyasint"`
+}
+
+// Override gives a slot another owner than the log does, as long as the slot's epoch in the log is Base.
+type Override struct {
+	ID   OverrideID     `cbor:"1,keyasint"`
+	Slot model.Slot     `cbor:"2,keyasint"`
+	Base model.Offset   `cbor:"3,keyasint"`
+	To   model.TargetID `cbor:"4,keyasint"`
+	// Committed is true once all members of the cell have accepted the override. Until then nobody may grant the slot.
+	Committed bool `cbor:"5,keyasint"`
+}
+
+// OverridePrepare asks a member to accept overrides. From is the target that lost the slots.
+type OverridePrepare struct {
+	ID        OverrideID     `cbor:"1,keyasint"`
+	Cell      model.Zone     `cbor:"2,keyasint"`
+	CellEpoch model.Offset   `cbor:"3,keyasint"`
+	From      model.TargetID `cbor:"4,keyasint"`
+	Moves     []record.Move  `cbor:"5,keyasint"`
+}
+
+// OverrideAccept says that the sender accepted the overrides.
+type OverrideAccept struct {
+	ID OverrideID `cbor:"1,keyasint"`
+}
+
+// OverrideQuery asks the proposer what became of a proposal that the sender accepted.
+type OverrideQuery struct {
+	ID OverrideID `cbor:"1,keyasint"`
+}
+
+// OverrideDecision says whether a proposal is committed or aborted.
+type OverrideDecision struct {
+	ID        OverrideID `cbor:"1,keyasint"`
+	Committed bool       `cbor:"2,keyasint"`
+}
--- /dev/null
+++ b/internal/proof/failover_test.go
@@ -0,0 +1,93 @@
+package proof
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/control"
+	"github.com/tarragonpoint/tarragonpoint/internal/record"
+)
+
+// logDownNoticed is the time after which all VMs treat the log as down.
+const logDownNoticed = 5 * time.Second
+
+// TestFailoverWhileLogIsDown guards against slots that stay without an owner for as long as the log is down, against a
+// second owner when the lost target returns, and against an override that the log does not take over later.
+func TestFailoverWhileLogIsDown(t *testing.T) {
+	w := newWorld(3, 2, 3, 3, t.Fatalf)
+	w.runFor(8*time.Second, w.checkOwners)
+	w.log.up = false
+	w.runFor(logDownNoticed, w.checkOwners)
+	before := len(w.log.streams[record.AssignStream])
+	lost := w.targets["target-a0"]
+	w.killTarget(lost)
+	start := w.now
+	for w.served() < slotsPerCell {
+		w.runFor(25*time.Millisecond, w.checkOwners)
+		require.LessOrEqual(t, w.now-start, lossLimit, "served again within the limit\n%s", w.describe())
+	}
+	t.Logf("served again after %v", w.now-start)
+	require.Len(t, w.log.streams[record.AssignStream], before, "the log took no record")
+	w.restartTarget(lost)
+	w.runFor(5*time.Second, w.checkOwners)
+	require.Equal(t, slotsPerCell, w.served())
+	w.log.up = true
+	w.runFor(10*time.Second, w.checkOwners)
+	require.Equal(t, slotsPerCell, w.served())
+	require.True(t, w.logHas(record.EvidenceLapsed), "the log has the new owners")
+}
+
+// logHas reports whether the log holds a Reassign with the evidence.
+func (w *world) logHas(evidence record.Evidence) bool {
+	for _, entry := range w.log.streams[record.AssignStream] {
+		if reassign := entry.Record.Reassign; reassign != nil && reassign.Evidence == evidence {
+			return true
+		}
+	}
+	return false
+}
+
+// TestOverridesUnderFaults guards against two owners when targets and entry VMs fail, freeze and return during outages of
+// the log that come and go, so that overrides race with records in the log.
+func TestOverridesUnderFaults(t *testing.T) {
+	committed := 0
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.Int64().Draw(t, "seed"), 2, 3, 3, t.Fatalf)
+		o := newOracle(w)
+		w.runFor(8*time.Second, o.check)
+		w.log.up = false
+		w.runFor(logDownNoticed, o.check)
+		all := w.actions(t, o.check)
+		actions := map[string]func(*rapid.T){"": func(*rapid.T) { o.checkStates() }}
+		for _, name := range []string{
+			"pass", "killTarget", "startTarget", "freezeTarget", "thawTarget", "killVM", "restartVM", "pauseVM", "resumeVM",
+			"pauseTwoVMs", "cutOneWay", "healNetwork", "dropMessages", "logUp", "freezeAndKill", "loseAnswers",
+		} {
+			actions[name] = all[name]
+		}
+		long := func(up bool) func(*rapid.T) {
+			return func(*rapid.T) {
+				w.log.up = up
+				w.runFor(logDownNoticed, o.check)
+			}
+		}
+		actions["longOutage"] = long(false)
+		actions["longOutageAgain"] = long(false)
+		actions["logBack"] = long(true)
+		t.Repeat(actions)
+		w.checkRecovery(o)
+		committed += w.failovers
+	})
+	t.Logf("%d overrides were committed", committed)
+	require.Positive(t, committed, "the faults never led to an override")
+}
+
+// countFailovers counts the overrides that were committed.
+func (w *world) countFailovers(effect control.Effect) {
+	if notice, ok := effect.(control.Notice); ok && notice.Kind == control.NoticeFailedOver {
+		w.failovers++
+	}
+}
--- a/internal/proof/world_test.go
+++ b/internal/proof/world_test.go
@@ -65,6 +65,8 @@
 	minted   uint64
 	// lostTargets counts the targets whose VMs were lost for good.
 	lostTargets int
+	// failovers counts the committed overrides.
+	failovers int
 }
 
 func newWorld(seed int64, zones, vmsPerZone, targetsPerZone int, fatal func(string, ...any)) *world {
@@ -220,6 +222,7 @@
 			w.step(vm, e)
 		}
 	}
+	w.countFailovers(effect)
 	switch e := effect.(type) {
 	case control.Append:
 		w.carryAppend(vm, e, back)
