--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -73,10 +73,13 @@
 
 	logUp     bool
 	logSeenAt model.Instant
-	ready     bool
-	leaving   bool
-	left      bool
-	dirty     bool
+	// ownersChanged is true if overrides changed the owners of slots since the last table.
+	ownersChanged bool
+
+	ready   bool
+	leaving bool
+	left    bool
+	dirty   bool
 
 	heartbeatAt  model.Instant
 	farBeatAt    model.Instant
--- a/internal/control/override.go
+++ b/internal/control/override.go
@@ -108,6 +108,7 @@
 // touchSlots makes grants and routes be computed again.
 func (n *Node) touchSlots() {
 	n.dirty = true
+	n.ownersChanged = true
 	for _, state := range n.targets {
 		state.grantsAt = 0
 	}
@@ -324,7 +325,9 @@
 			n.send(known.ID.Proposer, message.Message{OverrideQuery: &message.OverrideQuery{ID: known.ID}})
 		}
 	}
+	hints := len(n.hints)
 	maps.DeleteFunc(n.hints, func(_ model.Slot, hint overrideHint) bool { return n.now.Sub(hint.at) >= statusLife })
+	n.ownersChanged = n.ownersChanged || len(n.hints) != hints
 }
 
 // settleOverrides brings overrides into the log once it is back: committed ones at the lessor of the new owner. For one
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -42,6 +42,7 @@
 	for _, reported := range update.Overrides {
 		if hint, known := n.hints[reported.Slot]; !known || hint.Override != reported {
 			n.dirty = true
+			n.ownersChanged = true
 		}
 		n.hints[reported.Slot] = overrideHint{Override: reported, at: n.now}
 	}
--- a/internal/control/table.go
+++ b/internal/control/table.go
@@ -98,13 +98,16 @@
 	return known && !zone.OutOfService && !n.watch.isLeaving(configured.VM)
 }
 
-// addOwners takes the owners of the last table over while neither the assignments nor the set of targets can have changed.
+// addOwners takes the owners of the last table over while neither the assignments, the overrides nor the set of targets
+// can have changed.
 // At 40 nodes they take most of the time of a table, which is built anew for every change of a status.
 func (n *Node) addOwners(table *route.Table) {
-	if last := n.table; last != nil && last.AssignOffset == table.AssignOffset && last.ConfigVersion == table.ConfigVersion {
+	last := n.table
+	if last != nil && !n.ownersChanged && last.AssignOffset == table.AssignOffset && last.ConfigVersion == table.ConfigVersion {
 		table.Owners = last.Owners
 		return
 	}
+	n.ownersChanged = false
 	table.Owners = make(map[model.Slot]route.Owner, len(n.assign.state.Slots))
 	for slot, ownership := range n.assign.state.Slots {
 		owner, known := table.Targets[n.ownerOf(slot)]
