Check settings for contradictions, warn of weak ones, and report outages at the start

A malformed value ended with 602 and the whole help text; now Check reports it as 601 with all other faults. Added: equal listen addresses, this VM under another peer address, two VMs at one address. max-body-bytes above 7 MiB was accepted and then failed as 603. request-timeout was not applied to requests. A large header got no result code. The front waited for the balancer twice on a stop. A log or VM list that was down at the start left no line. New settings balancer-delay and log-retention replace constants. Conclusion of TestMalformedValues: faults come from Check now, which is stricter (names the flag, all at once).

--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,99 @@
+// Package admin defines the answers of an entry VM's admin endpoints, as JSON. The entry role writes them; the operators'
+// commands read them.
+package admin
+
+import (
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/result"
+)
+
+// Paths of the endpoints on the admin listener.
+const (
+	StatusPath = "/admin/status"
+	OwnerPath  = "/admin/owner"
+)
+
+// Status is the answer of GET /admin/status.
+type Status struct {
+	VM            model.VMID   `json:"vm"`
+	Zone          model.Zone   `json:"zone"`
+	Region        model.Region `json:"region"`
+	Ready         bool         `json:"ready"`
+	ConfigVersion model.Offset `json:"config_version"`
+	AssignOffset  model.Offset `json:"assign_offset"`
+	Targets       []Target     `json:"targets"`
+}
+
+// Target describes one target.
+type Target struct {
+	ID        model.TargetID `json:"id"`
+	Service   model.Service  `json:"service"`
+	Zone      model.Zone     `json:"zone"`
+	InService bool           `json:"in_service"`
+	// Slots is the number of slots that the target owns.
+	Slots int `json:"slots"`
+	// Status is null until the target's lessor reported one.
+	Status *TargetStatus `json:"status"`
+	// LeaseHeldHere is true if this VM is the target's lessor now.
+	LeaseHeldHere bool `json:"lease_held_here"`
+}
+
+// TargetStatus is the state of a target as its lessor last reported it.
+type TargetStatus struct {
+	Incarnation model.Incarnation `json:"incarnation"`
+	Serving     bool              `json:"serving"`
+	Cold        bool              `json:"cold"`
+	Draining    bool              `json:"draining"`
+	// Limit is the number of concurrent requests that the target bears now.
+	Limit int `json:"limit"`
+	// Load is the number of requests that the target reported; it lags.
+	Load   int        `json:"load"`
+	Lessor model.VMID `json:"lessor"`
+	// Term is the lessor's term, as epoch and rank.
+	Term string `json:"term"`
+}
+
+// State returns the state of a target in a few words.
+func (t Target) State() string {
+	switch {
+	case !t.InService:
+		return "out of service"
+	case t.Status == nil:
+		return "no status yet"
+	case t.Status.Draining:
+		return "draining"
+	case !t.Status.Serving:
+		return "no lease"
+	case t.Status.Cold:
+		return "cold"
+	default:
+		return "serving"
+	}
+}
+
+// Owner is the answer of GET /admin/owner.
+type Owner struct {
+	Service model.Service  `json:"service"`
+	Slot    string         `json:"slot"`
+	Owner   model.TargetID `json:"owner"`
+	// Epoch is the offset of the record that made the target the owner. It is the fence.
+	Epoch  model.Fence   `json:"epoch"`
+	Zone   model.Zone    `json:"zone"`
+	Status *TargetStatus `json:"status"`
+	// Why says in a sentence how the owner follows from the key.
+	Why string `json:"why"`
+}
+
+// Refusal is the answer to a question that has no other answer.
+type Refusal struct {
+	Code    result.Code `json:"code"`
+	Name    string      `json:"name"`
+	Meaning string      `json:"meaning"`
+	Action  string      `json:"action"`
+}
+
+// RefusalOf returns the refusal for a code.
+func RefusalOf(code result.Code) Refusal {
+	info := result.Lookup(code)
+	return Refusal{Code: info.Code, Name: info.Name, Meaning: info.Meaning, Action: info.Action}
+}
--- a/internal/entry/adapters.go
+++ b/internal/entry/adapters.go
@@ -13,7 +13,6 @@
 	"github.com/tarragonpoint/tarragonpoint/internal/quarantine"
 	"github.com/tarragonpoint/tarragonpoint/internal/result"
 	"github.com/tarragonpoint/tarragonpoint/internal/route"
-	"github.com/tarragonpoint/tarragonpoint/internal/telemetry"
 )
 
 // typicalBytes is the assumed size of a request and its response that cross regions, since neither is known when the
@@ -81,7 +80,11 @@
 // Withdraw takes one retry from the budget.
 func (r retries) Withdraw(service model.Service) bool {
 	known := r.service(service)
-	return known != nil && known.budget.Take(r.clock.Now())
+	if known == nil || !known.budget.Take(r.clock.Now()) {
+		r.metrics.RetryRefused(service)
+		return false
+	}
+	return true
 }
 
 // hedges applies the hedging budgets.
@@ -103,7 +106,11 @@
 // Allow takes one hedge from the budget.
 func (h hedges) Allow(service model.Service) bool {
 	known := h.service(service)
-	return known != nil && known.hedger.Take(h.clock.Now(), false)
+	if known == nil || !known.hedger.Take(h.clock.Now(), false) {
+		return false
+	}
+	h.metrics.Hedge(service)
+	return true
 }
 
 // P99 returns the 99th percentile of the latency of a service.
@@ -169,10 +176,7 @@
 }
 
 // observer passes measurements on to the metrics and to the policies that learn from them.
-type observer struct {
-	*policies
-	metrics *telemetry.Metrics
-}
+type observer struct{ *policies }
 
 // Attempt records the latency of an attempt that was answered.
 func (o observer) Attempt(service model.Service, _ dispatch.Path, code result.Code, latency time.Duration) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -30,11 +30,6 @@
 	// leaveTimeout bounds the wait for the record with which this VM leaves its cell. Without it the other members notice
 	// the silence after cell.SuspectAfter.
 	leaveTimeout = 3 * time.Second
-	// defaultRetention is the time for which the log is assumed to keep records. Snapshots come twice as often.
-	defaultRetention = 10 * time.Minute
-	// balancerDelay is the time in which a stopping VM reports that it is not ready but still takes requests, so that the
-	// balancer notices first.
-	balancerDelay = time.Second
 	// stopTimeout bounds the end of the plug-ins after the requests have ended.
 	stopTimeout = 5 * time.Second
 )
@@ -70,6 +65,7 @@
 	if err != nil {
 		return ErrStart.Wrap(err, "the entry role cannot start")
 	}
+	warnOfSettings(e.log, configured, os.Environ())
 	return e.run(ctx)
 }
 
@@ -79,13 +75,14 @@
 		return nil, err
 	}
 	c := newClock()
+	metrics := telemetry.New(tenantLabels)
 	e := &entry{
 		settings: configured,
 		clock:    c,
 		log:      log.Part(logging.Entry),
-		metrics:  telemetry.New(tenantLabels),
+		metrics:  metrics,
 		plugins:  adapters,
-		policies: newPolicies(c, log.Part(logging.Dispatch)),
+		policies: newPolicies(c, log.Part(logging.Dispatch), metrics),
 		hotKeys:  newHotKeys(c),
 	}
 	e.loop = newLoop(control.NewNode(nodeSettings(configured)), c)
@@ -119,7 +116,7 @@
 		Incarnation: model.Incarnation(time.Now().UnixMilli()),
 		Address:     configured.ListenPeers,
 		Seeds:       seeds,
-		Retention:   defaultRetention,
+		Retention:   configured.LogRetention,
 		NewID:       record.NewID,
 	}
 }
@@ -134,7 +131,7 @@
 		Hedger:     hedges{e.policies},
 		Admission:  limits{e.policies},
 		Quarantine: blocked{table: quarantine.NewTable(quarantineCapacity), seed: e.fingerprintSeed()},
-		Observer:   observer{policies: e.policies, metrics: e.metrics},
+		Observer:   observer{e.policies},
 		Successors: successors{table: e.loop.table.Load},
 	})
 }
@@ -162,8 +159,9 @@
 		MaxConnections:    e.settings.MaxConnections,
 		ReadHeaderTimeout: e.settings.ReadTimeout,
 		BodyTimeout:       e.settings.ReadTimeout,
+		RequestTimeout:    e.settings.RequestTimeout,
 		WriteTimeout:      e.settings.RequestTimeout,
-		DrainDelay:        balancerDelay,
+		DrainDelay:        e.settings.BalancerDelay,
 	}
 }
 
@@ -188,6 +186,7 @@
 func (e *entry) publish(table *route.Table, state config.State) {
 	e.policies.update(table, state)
 	e.dispatcher.SetTable(table)
+	e.metrics.Ready(table.Ready)
 	e.metrics.ConfigVersion(table.ConfigVersion)
 	e.metrics.AssignOffset(table.AssignOffset)
 }
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -14,7 +14,7 @@
 	// The background work outlives ctx until the requests have ended.
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	streams, err := newStreamRouter(work, e.plugins.log, e.loop, e.loop.effects.log)
+	streams, err := newStreamRouter(work, e.plugins.log, e.loop, &outage{changed: e.onFirstRead}, e.loop.effects.log)
 	if err != nil {
 		return ErrStart.Wrap(err, "streams")
 	}
@@ -27,7 +27,7 @@
 			e.log.Error("Reading the log ended.", logging.SystemError(err))
 		}
 	})
-	e.spawn(func() { pollVMList(work, e.plugins.vmList, e.loop) })
+	e.spawn(func() { pollVMList(work, e.plugins.vmList, e.loop, &outage{changed: e.onVMList}) })
 	e.spawn(func() { e.hotKeys.report(work, e.loop, e.hotKeyRate) })
 	e.spawn(func() { e.forgetIdleTenants(work) })
 	e.log.Info("Started.", logging.VM(e.settings.VM), logging.Zone(e.settings.Zone))
@@ -61,7 +61,19 @@
 	e.awaitLeft(work)
 	ending, cancelEnding := context.WithTimeout(work, stopTimeout)
 	defer cancelEnding()
-	return errors.Join(frontErr, dispatchErr, e.plugins.set.Stop(ending))
+	e.warnOfInterruption(frontErr, dispatchErr)
+	return e.plugins.set.Stop(ending)
+}
+
+// warnOfInterruption reports requests that outlived the drain time. Their callers were told that the outcome is unknown, or
+// lost their connection.
+func (e *entry) warnOfInterruption(errs ...error) {
+	for _, err := range errs {
+		if err != nil {
+			e.log.Warn("Requests were still running when the drain time ended. They were interrupted.", logging.ErrorType(err))
+			return
+		}
+	}
 }
 
 // awaitLeft waits for the record with which this VM leaves its cell.
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -11,6 +11,7 @@
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
 	"github.com/tarragonpoint/tarragonpoint/internal/retry"
 	"github.com/tarragonpoint/tarragonpoint/internal/route"
+	"github.com/tarragonpoint/tarragonpoint/internal/telemetry"
 )
 
 // retryFloor is the number of retries a second that a service may always make, so that a quiet service can retry at all.
@@ -29,6 +30,7 @@
 	clock   clock
 	log     *logging.Logger
 	limiter *admission.Limiter
+	metrics *telemetry.Metrics
 
 	mu       sync.RWMutex
 	version  model.Offset
@@ -38,11 +40,12 @@
 	services map[model.Service]*servicePolicy
 }
 
-func newPolicies(c clock, log *logging.Logger) *policies {
+func newPolicies(c clock, log *logging.Logger, metrics *telemetry.Metrics) *policies {
 	return &policies{
 		clock:    c,
 		log:      log,
 		limiter:  admission.NewLimiter(),
+		metrics:  metrics,
 		choice:   balance.NewP2C(),
 		services: map[model.Service]*servicePolicy{},
 	}
@@ -62,15 +65,24 @@
 		if !found {
 			continue
 		}
-		ids := make([]model.TargetID, 0, len(service.Targets))
-		for _, candidate := range service.Targets {
-			ids = append(ids, candidate.ID)
-			if candidate.Status != nil {
-				known.tracker.Report(now, candidate.ID, candidate.Status.Load)
-			}
+		p.metrics.Ejected(name, known.follow(now, service.Targets))
+	}
+}
+
+// follow takes the targets in a routing table and returns how many of them are ejected.
+func (s *servicePolicy) follow(now model.Instant, targets []*route.Target) (ejected int) {
+	ids := make([]model.TargetID, 0, len(targets))
+	for _, candidate := range targets {
+		ids = append(ids, candidate.ID)
+		if candidate.Status != nil {
+			s.tracker.Report(now, candidate.ID, candidate.Status.Load)
+		}
+		if s.tracker.Share(now, candidate.ID) == 0 {
+			ejected++
 		}
-		known.tracker.Retain(ids)
 	}
+	s.tracker.Retain(ids)
+	return ejected
 }
 
 // applyRules takes the rules in force. Budgets start anew, which allows at most one extra burst for each change.
--- a/internal/entry/streams.go
+++ b/internal/entry/streams.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/ThreeDotsLabs/watermill"
 	wm "github.com/ThreeDotsLabs/watermill/message"
+	"github.com/joomcode/errorx"
 
 	"github.com/tarragonpoint/tarragonpoint/internal/control"
 	"github.com/tarragonpoint/tarragonpoint/internal/logging"
@@ -24,16 +26,20 @@
 )
 
 // newStreamRouter returns a watermill router whose handlers feed the log's records to the control loop.
-func newStreamRouter(ctx context.Context, log platform.Log, l *loop, logger *logging.Logger) (*wm.Router, error) {
+func newStreamRouter(ctx context.Context, log platform.Log, l *loop, first *outage, logger *logging.Logger) (*wm.Router, error) {
 	router, err := wm.NewRouter(wm.RouterConfig{CloseTimeout: routerCloseTimeout}, watermill.NopLogger{})
 	if err != nil {
 		return nil, fmt.Errorf("stream router: %w", err)
 	}
+	var firstCall sync.Once
 	subscriber := &platform.Subscriber{
 		Log:  log,
 		From: l.nextOffset,
 		Wait: logWait,
 		Observe: func(stream record.Stream, reply platform.ReadReply, err error) {
+			if ctx.Err() == nil && !errorx.IsOfType(err, platform.ErrExpired) {
+				firstCall.Do(func() { first.note(err) })
+			}
 			if err != nil {
 				l.post(ctx, control.LogDown{Stream: stream})
 				return
@@ -69,13 +75,16 @@
 }
 
 // pollVMList reads the VM list until ctx ends.
-func pollVMList(ctx context.Context, list platform.VMList, l *loop) {
+func pollVMList(ctx context.Context, list platform.VMList, l *loop, health *outage) {
 	ticker := time.NewTicker(vmListInterval)
 	defer ticker.Stop()
 	for {
 		limited, cancel := context.WithTimeout(ctx, vmListInterval)
 		reply, err := list.List(limited)
 		cancel()
+		if ctx.Err() == nil {
+			health.note(err)
+		}
 		if err == nil {
 			l.post(ctx, control.VMListRead{List: reply})
 		}
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -65,11 +65,11 @@
 	}
 	control := http.NewResponseController(w)
 	if err := control.SetWriteDeadline(time.Now().Add(f.settings.WriteTimeout)); err != nil {
-		f.settings.Log.Warn("cannot limit the time of an answer")
+		f.settings.Log.Warn("Cannot limit the time of an answer.")
 	}
 	w.WriteHeader(answer.Status)
 	if _, err := w.Write(body); err != nil && len(body) > 0 {
-		f.settings.Log.Info("the caller did not take the answer")
+		f.settings.Log.Info("A caller did not take the answer.")
 	}
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -30,8 +30,10 @@
 	settings Settings
 	memory   *semaphore.Weighted
 	draining atomic.Bool
-	callers  endpoint
-	admin    endpoint
+	// delayed makes only the first Stop wait for the drain delay: the entry role stops the front before the other plug-ins.
+	delayed sync.Once
+	callers endpoint
+	admin   endpoint
 }
 
 // endpoint is one listener with its server.
@@ -71,12 +73,12 @@
 func (f *Front) Start(context.Context) error {
 	callers, err := net.Listen("tcp", f.settings.Listen)
 	if err != nil {
-		return ErrListen.Wrap(err, "cannot listen on %s", f.settings.Listen)
+		return ErrListen.Wrap(err, "cannot listen on %s for callers (-listen-callers)", f.settings.Listen)
 	}
 	admin, err := net.Listen("tcp", f.settings.AdminListen)
 	if err != nil {
 		callers.Close()
-		return ErrListen.Wrap(err, "cannot listen on %s", f.settings.AdminListen)
+		return ErrListen.Wrap(err, "cannot listen on %s for operators (-listen-admin)", f.settings.AdminListen)
 	}
 	f.callers.start(newLimitedListener(callers, f.settings.MaxConnections), f.newServer(f.callerRoutes()))
 	f.admin.start(admin, f.newServer(f.adminRoutes()))
@@ -89,7 +91,7 @@
 		Handler:           routes,
 		ReadHeaderTimeout: f.settings.ReadHeaderTimeout,
 		IdleTimeout:       f.settings.IdleTimeout,
-		MaxHeaderBytes:    f.settings.MaxHeaderBytes,
+		MaxHeaderBytes:    headerSlack * f.settings.MaxHeaderBytes,
 		// net/http quotes received data in its lines.
 		ErrorLog: log.New(io.Discard, "", 0),
 	}
@@ -148,14 +150,19 @@
 // the connections are then closed.
 func (f *Front) Stop(ctx context.Context) error {
 	f.Drain()
+	f.delayed.Do(func() { f.awaitBalancer(ctx) })
+	err := f.callers.stop(ctx)
+	return errorx.DecorateMany("stop", err, f.admin.stop(ctx))
+}
+
+// awaitBalancer waits for the drain delay or until ctx ends.
+func (f *Front) awaitBalancer(ctx context.Context) {
 	delay := time.NewTimer(f.settings.DrainDelay)
 	defer delay.Stop()
 	select {
 	case <-delay.C:
 	case <-ctx.Done():
 	}
-	err := f.callers.stop(ctx)
-	return errorx.DecorateMany("stop", err, f.admin.stop(ctx))
 }
 
 func (p *endpoint) start(listener net.Listener, server *http.Server) {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -297,3 +297,39 @@
 		require.Positive(t, p.timeout)
 	})
 }
+
+// A header above the limit must get a numbered answer that names the limit, and must not reach the dispatcher.
+func TestLargeHeaderIsRefusedWithACode(t *testing.T) {
+	f := startFront(t, stub{handle: func(dispatch.Request) dispatch.Answer { panic("the request was served") }},
+		func(s *Settings) { s.MaxHeaderBytes = 2048 })
+	conn, reader := connect(t, f)
+	send(t, conn, "GET /v1/alerts/x", "X-Large: "+strings.Repeat("a", 3000))
+	response, body := answer(t, reader)
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, response.StatusCode)
+	require.Equal(t, "101", response.Header.Get(HeaderCode))
+	require.Equal(t, "not-run", body.Outcome)
+	require.Contains(t, body.Detail, "want at most 2048")
+}
+
+// The limit of the entry VM must apply to requests whose service or caller allows more.
+func TestRequestTimeoutLimitsTheDeadline(t *testing.T) {
+	var allowed time.Duration
+	f := startFront(t, stub{handle: func(r dispatch.Request) dispatch.Answer {
+		allowed = r.Deadline.Sub(r.Received)
+		return echo(r)
+	}}, func(s *Settings) { s.RequestTimeout = 2 * time.Second })
+	conn, reader := connect(t, f)
+	send(t, conn, "GET /v1/alerts/x", "Tarragon-Deadline-Ms: 9000")
+	response, _ := answer(t, reader)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Equal(t, 2*time.Second, allowed)
+}
+
+// The entry role stops the front twice; the second time must not wait for the balancer again.
+func TestSecondStopDoesNotDelay(t *testing.T) {
+	f := startFront(t, stub{handle: echo}, func(s *Settings) { s.DrainDelay = 100 * testPatience })
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = f.Stop(ended) // The first stop may report the ended context.
+	stopFront(t, f)
+}
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 
@@ -12,6 +13,13 @@
 // smallBodyBytes is the largest unread body for which a refused caller keeps its connection.
 const smallBodyBytes = 16 << 10
 
+const (
+	// headerFraming is the number of bytes of ": " and the end of a header line.
+	headerFraming = 4
+	// headerSlack is how many times the limit net/http reads of a header, so that the answer can say what is wrong.
+	headerSlack = 4
+)
+
 // exchange is one caller's request and its answer.
 type exchange struct {
 	front  *Front
@@ -38,11 +46,15 @@
 func (e *exchange) run(received time.Time) (answer dispatch.Answer, detail string) {
 	defer func() {
 		if failure := recover(); failure != nil {
-			e.front.settings.Log.Error("the request path panicked", logging.Code(result.Internal))
+			e.front.settings.Log.Error("The request path panicked. The caller got an error.", logging.Code(result.Internal))
 			answer, detail = refuse(result.Internal, e.parsed, e.hasID), ""
 		}
 	}()
 	var err error
+	if size := headerBytes(e.r); size > e.front.settings.MaxHeaderBytes {
+		e.closeConnection()
+		return e.refuseHeader(), fmt.Sprintf("the header has about %d bytes, want at most %d", size, e.front.settings.MaxHeaderBytes)
+	}
 	if e.parsed, err = parseRequest(e.r, received); err != nil {
 		e.leaveBody()
 		return refuse(result.BadRequest, e.parsed, e.hasID), problem(err)
@@ -59,9 +71,28 @@
 	return e.front.settings.Handler.Handle(e.r.Context(), e.request(body, deadline)), ""
 }
 
+// refuseHeader refuses a request whose header is too large. Whether the request is idempotent is not known, as the header is
+// not read.
+func (e *exchange) refuseHeader() dispatch.Answer {
+	answer := refuse(result.BadRequest, e.parsed, e.hasID)
+	answer.Status = http.StatusRequestHeaderFieldsTooLarge
+	return answer
+}
+
+// headerBytes returns the size of a request's first line and header as HTTP/1.1 writes them, in bytes.
+func headerBytes(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len(r.Host) + headerFraming
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + headerFraming
+		}
+	}
+	return size
+}
+
 // deadline returns the caller's deadline, but no later than the service's timeout allows.
 func (e *exchange) deadline() time.Time {
-	timeout := e.front.settings.Handler.Timeout(e.parsed.preview.Service)
+	timeout := min(e.front.settings.RequestTimeout, e.front.settings.Handler.Timeout(e.parsed.preview.Service))
 	if e.parsed.timeout > 0 {
 		timeout = min(timeout, e.parsed.timeout)
 	}
@@ -114,7 +145,7 @@
 func (e *exchange) closeConnection() {
 	e.w.Header().Set("Connection", "close")
 	if err := http.NewResponseController(e.w).SetReadDeadline(time.Now()); err != nil {
-		e.front.settings.Log.Warn("cannot limit the time of a connection")
+		e.front.settings.Log.Warn("Cannot limit the time of a connection.")
 	}
 }
 
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -38,6 +38,7 @@
 	defaultBodyTimeout       = 30 * time.Second
 	defaultWriteTimeout      = 30 * time.Second
 	defaultIdleTimeout       = 75 * time.Second
+	defaultRequestTimeout    = 10 * time.Minute
 )
 
 // maxForwardedBytes is the largest body that fits into a message between entry VMs (8 MiB) together with its headers.
@@ -59,7 +60,8 @@
 	Done func(done Done)
 	// Log receives the lines of this part; nil discards them.
 	Log *logging.Logger
-	// MaxHeaderBytes and MaxBodyBytes limit one request, in bytes.
+	// MaxHeaderBytes and MaxBodyBytes limit one request, in bytes. A header above headerSlack times the limit is refused by
+	// net/http with status 431 and without a result code.
 	MaxHeaderBytes int
 	MaxBodyBytes   int64
 	// MaxBufferedBytes limits the request bodies in memory at a time, in bytes.
@@ -71,6 +73,8 @@
 	BodyTimeout       time.Duration
 	WriteTimeout      time.Duration
 	IdleTimeout       time.Duration
+	// RequestTimeout limits a request whatever its deadline.
+	RequestTimeout time.Duration
 	// DrainDelay is the time in which a stopping VM reports that it is not ready but still takes requests, so that the balancer
 	// notices before connections are refused.
 	DrainDelay time.Duration
@@ -104,6 +108,7 @@
 	orDefault(&s.BodyTimeout, defaultBodyTimeout)
 	orDefault(&s.WriteTimeout, defaultWriteTimeout)
 	orDefault(&s.IdleTimeout, defaultIdleTimeout)
+	orDefault(&s.RequestTimeout, defaultRequestTimeout)
 	if s.Log == nil {
 		s.Log = logging.Discard().Part(logging.Front)
 	}
@@ -127,7 +132,7 @@
 		return ErrSettings.New("bodies of %d bytes cannot be forwarded, want at most %d", s.MaxBodyBytes, maxForwardedBytes)
 	case s.MaxBufferedBytes < s.MaxBodyBytes:
 		return ErrSettings.New("%d bytes for all bodies cannot hold one of %d", s.MaxBufferedBytes, s.MaxBodyBytes)
-	case min(s.ReadHeaderTimeout, s.BodyTimeout, s.WriteTimeout, s.IdleTimeout, s.DrainDelay) < 0:
+	case min(s.ReadHeaderTimeout, s.BodyTimeout, s.WriteTimeout, s.IdleTimeout, s.RequestTimeout, s.DrainDelay) < 0:
 		return ErrSettings.New("negative time")
 	}
 	return nil
--- a/internal/logging/fields.go
+++ b/internal/logging/fields.go
@@ -45,6 +45,9 @@
 // Count is a number of things.
 func Count(count int) Field { return Field{"count", count} }
 
+// Setting is the name of a flag or a variable, never a value.
+func Setting(name string) Field { return Field{"setting", name} }
+
 // ErrorType is the type of an error. The message of an error is left out, as it can quote received data.
 func ErrorType(err error) Field {
 	if typed := errorx.Cast(err); typed != nil {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"net/netip"
 	"net/url"
 	"slices"
@@ -15,13 +16,16 @@
 )
 
 const (
-	minKeyBytes       = 32
-	minHeaderBytes    = 1 << 10
-	maxHeaderBytes    = 1 << 20
-	maxBodyBytes      = 1 << 30
+	minKeyBytes    = 32
+	minHeaderBytes = 1 << 10
+	maxHeaderBytes = 1 << 20
+	// maxBodyBytes keeps a body with its headers below the 8 MiB of a message between entry VMs.
+	maxBodyBytes      = 7 << 20
 	minTimeout        = time.Millisecond
 	maxTimeout        = 10 * time.Minute
 	maxConnectionsCap = 1 << 20
+	minRetention      = 10 * time.Second
+	maxRetention      = 365 * 24 * time.Hour
 )
 
 var logLevels = []string{"debug", "info", "warn", "error"}
@@ -37,6 +41,7 @@
 // Check returns ErrInvalid with all faults of the settings, one a line, or nil. The message contains no secret.
 func Check(entry Entry) error {
 	c := &checker{}
+	c.malformed(entry.malformed)
 	c.name("vm-id", string(entry.VM))
 	c.name("zone", string(entry.Zone))
 	c.name("region", string(entry.Region))
@@ -45,6 +50,7 @@
 	c.listen("listen-admin", entry.ListenAdmin)
 	c.url("platform-log-url", entry.LogURL)
 	c.url("platform-vmlist-url", entry.VMListURL)
+	c.addresses(entry)
 	c.peers(entry)
 	c.keys(entry.PeerKeys)
 	checkRange(c, "max-header-bytes", entry.MaxHeaderBytes, minHeaderBytes, maxHeaderBytes)
@@ -53,6 +59,8 @@
 	checkRange(c, "max-connections", entry.MaxConnections, 1, maxConnectionsCap)
 	checkRange(c, "request-timeout", entry.RequestTimeout, minTimeout, maxTimeout)
 	checkRange(c, "drain-time", entry.DrainTime, 0, maxTimeout)
+	checkRange(c, "balancer-delay", entry.BalancerDelay, 0, maxTimeout)
+	checkRange(c, "log-retention", entry.LogRetention, minRetention, maxRetention)
 	if !slices.Contains(logLevels, entry.LogLevel) {
 		c.add("log-level", "%q is none of %s", entry.LogLevel, strings.Join(logLevels, ", "))
 	}
@@ -106,13 +114,44 @@
 
 func (c *checker) peers(entry Entry) {
 	seen := map[model.VMID]bool{}
+	owners := map[string]model.VMID{}
+	if entry.ListenPeers != "" {
+		owners[entry.ListenPeers] = entry.VM
+	}
 	for _, peer := range entry.Peers {
 		c.name("peers", string(peer.VM))
 		c.address("peers", peer.Address)
+		if peer.VM == entry.VM && peer.Address != entry.ListenPeers {
+			c.add("peers", "names this VM with %s, but -listen-peers is %s", peer.Address, entry.ListenPeers)
+		}
 		if seen[peer.VM] {
 			c.add("peers", "VM %q is named twice", peer.VM)
 		}
 		seen[peer.VM] = true
+		if other, taken := owners[peer.Address]; taken && other != peer.VM {
+			c.add("peers", "%s is the address of VM %q and of VM %q", peer.Address, other, peer.VM)
+		}
+		owners[peer.Address] = peer.VM
+	}
+}
+
+// malformed reports the values that could not be parsed.
+func (c *checker) malformed(faults map[string]string) {
+	for _, name := range slices.Sorted(maps.Keys(faults)) {
+		c.add(name, "%s", faults[name])
+	}
+}
+
+// addresses reports addresses of this VM that cannot be listened on together.
+func (c *checker) addresses(entry Entry) {
+	taken := map[string]string{}
+	for _, own := range []struct{ name, address string }{
+		{"listen-callers", entry.ListenCallers}, {"listen-peers", entry.ListenPeers}, {"listen-admin", entry.ListenAdmin},
+	} {
+		if other, found := taken[own.address]; found && own.address != "" {
+			c.add(own.name, "%s is also the address of -%s", own.address, other)
+		}
+		taken[own.address] = own.name
 	}
 }
 
--- a/internal/settings/definition.go
+++ b/internal/settings/definition.go
@@ -48,7 +48,7 @@
 		if err := value.Set(definition.Default); err != nil && definition.Default != "" {
 			return ErrInvalid.Wrap(err, "default of -%s", definition.Flag)
 		}
-		flags.Var(value, definition.Flag, definition.help())
+		flags.Var(checkedLater{Value: value, name: definition.Flag, into: entry}, definition.Flag, definition.help())
 	}
 	return nil
 }
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -42,10 +42,17 @@
 	RequestTimeout time.Duration
 	// DrainTime limits the time to finish running requests on a planned stop.
 	DrainTime time.Duration
+	// BalancerDelay is the part of the drain time in which this VM reports that it is not ready but still takes requests.
+	BalancerDelay time.Duration
+	// LogRetention is the shortest time for which the log keeps records.
+	LogRetention time.Duration
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
 	// Plugins are the adapters at the edges.
 	Plugins Plugins
+
+	// malformed holds what is wrong with values that could not be parsed, by flag. Check reports them with all other faults.
+	malformed map[string]string
 }
 
 // Peer is an entry VM and its peer address, IP:port.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -80,12 +80,66 @@
 
 // TestMalformedValues guards against values that are cut or wrapped silently.
 func TestMalformedValues(t *testing.T) {
-	for _, arg := range []string{"-read-timeout=3", "-max-header-bytes=99999999999999999999", "-max-body-bytes=4k", "-peers=127.0.0.1:1"} {
-		_, err := parse(t, arg)
-		assert.Error(t, err, arg)
+	args := []string{"-read-timeout=3", "-max-header-bytes=99999999999999999999", "-max-body-bytes=4k", "-peers=127.0.0.1:1"}
+	entry, err := parse(t, append(complete(), args...)...)
+	require.NoError(t, err)
+	fault := Check(entry)
+	require.ErrorContains(t, fault, "-read-timeout (TARRAGONPOINT_READ_TIMEOUT): not a duration")
+	for _, arg := range args {
+		name, _, _ := strings.Cut(arg, "=")
+		assert.ErrorContains(t, fault, name+" (", "all faults are reported at once")
+		entry, err = parse(t, append(complete(), arg)...)
+		require.NoError(t, err)
+		assert.Error(t, Check(entry), arg)
+	}
+	entry, err = parse(t, append(complete(), "-read-timeout=3", "-read-timeout=3s")...)
+	require.NoError(t, err)
+	assert.NoError(t, Check(entry), "a later value replaces a malformed one")
+}
+
+// TestContradictions guards against settings that are valid one by one and fail, or lose a VM, together.
+func TestContradictions(t *testing.T) {
+	for arg, want := range map[string]string{
+		"-listen-admin=127.0.0.1:7001":                   "-listen-admin (TARRAGONPOINT_LISTEN_ADMIN): 127.0.0.1:7001 is also the address of -listen-peers",
+		"-peers=vm-1=127.0.0.1:7002":                     "names this VM with 127.0.0.1:7002, but -listen-peers is 127.0.0.1:7001",
+		"-peers=vm-2=127.0.0.1:7002,vm-3=127.0.0.1:7002": `127.0.0.1:7002 is the address of VM "vm-2" and of VM "vm-3"`,
+		"-peers=vm-2=127.0.0.1:7001":                     `127.0.0.1:7001 is the address of VM "vm-1" and of VM "vm-2"`,
+		"-max-body-bytes=9000000":                        "-max-body-bytes (TARRAGONPOINT_MAX_BODY_BYTES): 9000000 is not between 1 and 7340032",
+		"-log-retention=1s":                              "-log-retention (TARRAGONPOINT_LOG_RETENTION): 1s is not between",
+		"-balancer-delay=-1s":                            "-balancer-delay (TARRAGONPOINT_BALANCER_DELAY): -1s is not between",
+	} {
+		entry, err := parse(t, append(complete(), arg)...)
+		require.NoError(t, err)
+		assert.ErrorContains(t, Check(entry), want, arg)
 	}
 }
 
+// TestWarnings guards against weak settings that nobody notices, and against warnings about good ones.
+func TestWarnings(t *testing.T) {
+	for arg, flag := range map[string]string{
+		"-drain-time=1s":                         "drain-time",
+		"-balancer-delay=0s":                     "balancer-delay",
+		"-request-timeout=1m":                    "request-timeout",
+		"-listen-admin=0.0.0.0:7009":             "listen-admin",
+		"-log-retention=1m":                      "log-retention",
+		"-log-level=debug":                       "log-level",
+		"-peers=":                                "peers",
+		"-peer-keys=" + strings.Repeat("ab", 20): "peer-keys",
+	} {
+		entry, err := parse(t, append(complete(), "-peers=vm-2=127.0.0.1:7002", arg)...)
+		require.NoError(t, err)
+		require.NoError(t, Check(entry), arg)
+		found := Warnings(entry)
+		require.Len(t, found, 1, arg)
+		assert.Equal(t, flag, found[0].Flag)
+	}
+	entry, err := parse(t, append(complete(), "-peers=vm-2=127.0.0.1:7002")...)
+	require.NoError(t, err)
+	assert.Empty(t, Warnings(entry))
+	environment := []string{"TARRAGONPOINT_RAED_TIMEOUT=3s", "TARRAGONPOINT_ZONE=a", "TARRAGONPOINT_ADMIN=b", "PATH=/bin"}
+	assert.Equal(t, []string{"TARRAGONPOINT_RAED_TIMEOUT"}, UnknownVariables(environment))
+}
+
 // TestPageMatchesTable guards against a page that lags behind the code.
 func TestPageMatchesTable(t *testing.T) {
 	page, err := os.ReadFile("../../docs/SETTINGS.md")
--- a/internal/settings/value.go
+++ b/internal/settings/value.go
@@ -1,11 +1,14 @@
 package settings
 
 import (
+	"flag"
 	"fmt"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
 )
 
@@ -68,6 +71,43 @@
 	return v.into.String()
 }
 
+// checkedLater keeps the fault of a malformed value for Check, so that operators see all faults of the settings at once and
+// the flag package does not print the value.
+type checkedLater struct {
+	flag.Value
+	name string
+	into *Entry
+}
+
+// Set implements flag.Value. It never fails.
+func (v checkedLater) Set(value string) error {
+	delete(v.into.malformed, v.name)
+	err := v.Value.Set(value)
+	if err == nil {
+		return nil
+	}
+	if v.into.malformed == nil {
+		v.into.malformed = map[string]string{}
+	}
+	v.into.malformed[v.name] = messageOf(err)
+	return nil
+}
+
+// String implements flag.Value. The flag package calls it on the zero value as well.
+func (v checkedLater) String() string {
+	if v.Value == nil {
+		return ""
+	}
+	return v.Value.String()
+}
+
+func messageOf(err error) string {
+	if typed := errorx.Cast(err); typed != nil {
+		return typed.Message()
+	}
+	return err.Error()
+}
+
 // peerList is a flag.Value for peers in the form vm=IP:port, separated by commas.
 type peerList struct{ into *[]Peer }
 
--- /dev/null
+++ b/internal/settings/warning.go
@@ -0,0 +1,84 @@
+package settings
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// minKeyVariety is the number of different bytes below which a key is easily guessed; 32 random hexadecimal digits
+	// have 14 on average.
+	minKeyVariety = 8
+	// shortRetention is the retention below which a VM that starts has little time to read what it needs.
+	shortRetention = 2 * time.Minute
+)
+
+// commandVariables are the variables of the operators' commands, which may be set for the entry role as well.
+var commandVariables = []string{"ADMIN", "ADMIN_TIMEOUT", "AUTHOR", "BASE", "INVENTORY", "JSON", "RULES", "TENANT", "TIMEOUT"}
+
+// Warning is a setting that is legal but weak.
+type Warning struct {
+	// Flag is the name of the setting.
+	Flag string
+	// Text is one constant sentence with the effect and the cure.
+	Text string
+}
+
+// Warnings returns the settings that passed Check but are weak, in the order of the documentation.
+func Warnings(entry Entry) []Warning {
+	var found []Warning
+	warnIf := func(isWeak bool, name, text string) {
+		if isWeak {
+			found = append(found, Warning{Flag: name, Text: text})
+		}
+	}
+	warnIf(!isLoopback(entry.ListenAdmin), "listen-admin",
+		"Other machines can reach the admin address, which has no authentication. Limit access in the network.")
+	warnIf(len(entry.Peers) == 0, "peers",
+		"No other entry VM is named, so this VM cannot start while the log is down.")
+	warnIf(slices.ContainsFunc(entry.PeerKeys, isGuessable), "peer-keys",
+		"A shared key has few different bytes. Use at least 32 random bytes.")
+	warnIf(entry.RequestTimeout > entry.DrainTime && entry.DrainTime > entry.BalancerDelay, "request-timeout",
+		"A request may take longer than the drain time, so a planned stop can interrupt it.")
+	warnIf(entry.DrainTime <= entry.BalancerDelay, "drain-time",
+		"The balancer delay uses up the drain time, so a planned stop interrupts running requests.")
+	warnIf(entry.BalancerDelay == 0, "balancer-delay",
+		"A planned stop refuses connections before the balancer can notice it.")
+	warnIf(entry.LogRetention < shortRetention, "log-retention",
+		"Snapshots are frequent, and a starting VM has little time to read the log.")
+	warnIf(entry.LogLevel == "debug", "log-level",
+		"Debug lines are for developers and numerous.")
+	return found
+}
+
+// UnknownVariables returns the variables of an environment that have the program's prefix but set nothing.
+func UnknownVariables(environment []string) []string {
+	var unknown []string
+	for _, setting := range environment {
+		name, _, _ := strings.Cut(setting, "=")
+		suffix, ours := strings.CutPrefix(name, EnvironmentPrefix+"_")
+		if ours && !slices.Contains(commandVariables, suffix) && !isDefined(name) {
+			unknown = append(unknown, name)
+		}
+	}
+	return unknown
+}
+
+func isDefined(variable string) bool {
+	return slices.ContainsFunc(definitions, func(d Definition) bool { return d.Variable() == variable })
+}
+
+func isLoopback(address string) bool {
+	parsed, err := netip.ParseAddrPort(address)
+	return err == nil && parsed.Addr().IsLoopback()
+}
+
+func isGuessable(key Secret) bool {
+	different := map[byte]bool{}
+	for _, value := range key.Reveal() {
+		different[value] = true
+	}
+	return len(different) < minKeyVariety
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -70,10 +70,15 @@
 		CachedReporter:         exporter,
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
-	return &Metrics{
+	m := &Metrics{
 		scope: scope, closer: closer, exporter: exporter, requests: map[requestLabels]requestMetrics{},
 		tenants: newLabelSet(tenantLimit), classes: newLabelSet(classLimit), services: newLabelSet(serviceLimit),
 	}
+	// Without a first value, an alarm on 0 would never see a VM that could not start properly.
+	m.Ready(false)
+	m.LogAvailable(false)
+	m.VMListAvailable(false)
+	return m
 }
 
 // Handler serves the metrics in the Prometheus text format. Values are at most reportInterval old.
@@ -184,12 +189,20 @@
 }
 
 // LogAvailable sets whether the log service answers.
-func (m *Metrics) LogAvailable(available bool) {
+func (m *Metrics) LogAvailable(available bool) { m.setFlag("log_available", available) }
+
+// VMListAvailable sets whether the VM list answers.
+func (m *Metrics) VMListAvailable(available bool) { m.setFlag("vm_list_available", available) }
+
+// Ready sets whether this VM takes requests.
+func (m *Metrics) Ready(ready bool) { m.setFlag("ready", ready) }
+
+func (m *Metrics) setFlag(name string, isSet bool) {
 	value := 0.0
-	if available {
+	if isSet {
 		value = 1
 	}
-	m.scope.Gauge("log_available").Update(value)
+	m.scope.Gauge(name).Update(value)
 }
 
 // Strike counts a request that broke a target.
