Print answers for people and give each failure of a command its code

owner and status print sentences and a table (JSON behind -json); the JSON has snake case names from internal/admin. An unknown plug-in ended with 603 because only the outermost error was looked at; the code is now that of the first known cause and the message has no Go types. A wrong flag printed the whole help above the error. An unknown zone or target now lists the known ones, an empty inventory is refused (publishing it would remove everything), a wrong type names the value.

--- a/internal/cli/admin_command.go
+++ b/internal/cli/admin_command.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"flag"
-	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -15,6 +14,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/tarragonpoint/tarragonpoint/internal/admin"
 	"github.com/tarragonpoint/tarragonpoint/internal/config"
 	"github.com/tarragonpoint/tarragonpoint/internal/result"
 )
@@ -24,19 +24,18 @@
 	adminTimeout = 5 * time.Second
 	// maxAdminBytes bounds an answer of an admin endpoint, in bytes.
 	maxAdminBytes = 4 << 20
-
-	ownerPath  = "/admin/owner"
-	statusPath = "/admin/status"
 )
 
 type adminFlags struct {
 	addresses string
 	timeout   time.Duration
+	isJSON    bool
 }
 
 func (a *adminFlags) bind(flags *flag.FlagSet) {
 	flags.StringVar(&a.addresses, "admin", "127.0.0.1:8081", "Admin addresses of entry VMs. Unit: IP:port, separated by commas.")
 	flags.DurationVar(&a.timeout, "admin-timeout", adminTimeout, "Longest time for the answer of one entry VM. Unit: duration.")
+	flags.BoolVar(&a.isJSON, "json", false, "Print the answers as JSON. Unit: true or false.")
 }
 
 func (a *adminFlags) list() ([]string, error) {
@@ -52,11 +51,11 @@
 // ownerCommand asks the entry VMs one after another until one answers.
 func (p *Program) ownerCommand() *ffcli.Command {
 	flags := p.flags("owner")
-	var admin adminFlags
-	admin.bind(flags)
+	var asked adminFlags
+	asked.bind(flags)
 	tenant := flags.String("tenant", "", "Tenant of the key; it decides the placement class. Unit: name.")
 	return p.command("owner", "SERVICE KEY", "print the owner of a key", flags, func(ctx context.Context, args []string) error {
-		addresses, err := admin.list()
+		addresses, err := asked.list()
 		if err != nil {
 			return err
 		}
@@ -66,9 +65,8 @@
 		}
 		for _, address := range addresses {
 			var answer []byte
-			if answer, err = p.ask(ctx, admin.timeout, address, ownerPath, query); err == nil {
-				fmt.Fprintf(p.Stdout, "%s\n", answer)
-				return nil
+			if answer, err = p.ask(ctx, asked.timeout, address, admin.OwnerPath, query); err == nil {
+				return p.print(asked, answer, formatOwner)
 			}
 		}
 		return err
@@ -78,22 +76,22 @@
 // statusCommand asks all entry VMs and fails if any does not answer.
 func (p *Program) statusCommand() *ffcli.Command {
 	flags := p.flags("status")
-	var admin adminFlags
-	admin.bind(flags)
+	var asked adminFlags
+	asked.bind(flags)
 	return p.command("status", "", "print the status of entry VMs", flags, func(ctx context.Context, _ []string) error {
-		addresses, err := admin.list()
+		addresses, err := asked.list()
 		if err != nil {
 			return err
 		}
 		var lastErr error
 		for _, address := range addresses {
-			answer, err := p.ask(ctx, admin.timeout, address, statusPath, nil)
+			answer, err := p.ask(ctx, asked.timeout, address, admin.StatusPath, nil)
+			if err == nil {
+				err = p.print(asked, answer, formatStatus)
+			}
 			if err != nil {
-				fmt.Fprintf(p.Stdout, "%s: %v\n", address, err)
 				lastErr = err
-				continue
 			}
-			fmt.Fprintf(p.Stdout, "%s: %s\n", address, answer)
 		}
 		return lastErr
 	})
@@ -117,8 +115,8 @@
 	if err != nil {
 		return nil, failure(result.AdminUnavailable, "answer of the entry VM at %s broke off: %v", address, err)
 	}
-	if response.StatusCode >= http.StatusBadRequest && response.StatusCode < http.StatusInternalServerError {
-		return nil, failure(result.UsageError, "entry VM at %s refused the question with status %d: %q", address, response.StatusCode, body)
+	if response.StatusCode >= http.StatusBadRequest {
+		return nil, refused(address, response.StatusCode, body)
 	}
 	var indented bytes.Buffer
 	if response.StatusCode != http.StatusOK || json.Indent(&indented, body, "", "  ") != nil {
@@ -127,6 +125,20 @@
 	return indented.Bytes(), nil
 }
 
+// refused returns the failure for an answer with an error status. The code of the answer goes into the message, since codes for
+// callers have no exit code.
+func refused(address string, status int, body []byte) *Failure {
+	code := result.UsageError
+	if status >= http.StatusInternalServerError {
+		code = result.AdminUnavailable
+	}
+	var refusal admin.Refusal
+	if json.Unmarshal(body, &refusal) != nil || refusal.Name == "" {
+		return failure(code, "entry VM at %s refused the question with status %d", address, status)
+	}
+	return failure(code, "entry VM at %s: %d %s: %s", address, refusal.Code, refusal.Name, refusal.Meaning)
+}
+
 // withoutURL removes the URL from an error, because it contains the key and the tenant.
 func withoutURL(err error) error {
 	var failed *url.Error
--- a/internal/cli/change_command.go
+++ b/internal/cli/change_command.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
+	"slices"
+	"strings"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -52,7 +55,7 @@
 	return func(state config.State, name string) (config.State, error) {
 		zone, found := state.Zones[model.Zone(name)]
 		if !found {
-			return state, failure(result.UsageError, "version %d has no zone %q", state.Version, name)
+			return state, failure(result.UsageError, "version %d has no zone %q; it has %s", state.Version, name, listed(state.Zones))
 		}
 		zone.OutOfService = isOut
 		state.Zones = maps.Clone(state.Zones)
@@ -65,7 +68,7 @@
 	return func(state config.State, name string) (config.State, error) {
 		target, found := state.Targets[model.TargetID(name)]
 		if !found {
-			return state, failure(result.UsageError, "version %d has no target %q", state.Version, name)
+			return state, failure(result.UsageError, "version %d has no target %q; it has %s", state.Version, name, listed(state.Targets))
 		}
 		target.Drain = isDrained
 		state.Targets = maps.Clone(state.Targets)
@@ -73,3 +76,26 @@
 		return state, nil
 	}
 }
+
+// listedNames is the number of names that an error lists.
+const listedNames = 20
+
+// listed returns the names of entities in order, for the error about an unknown one.
+func listed[K ~string, V any](entities map[K]V) string {
+	if len(entities) == 0 {
+		return "none"
+	}
+	names := slices.Sorted(maps.Keys(entities))
+	rest := len(names) - listedNames
+	if rest > 0 {
+		names = names[:listedNames]
+	}
+	text := make([]string, 0, len(names))
+	for _, name := range names {
+		text = append(text, string(name))
+	}
+	if rest > 0 {
+		return fmt.Sprintf("%s and %d more", strings.Join(text, ", "), rest)
+	}
+	return strings.Join(text, ", ")
+}
--- a/internal/cli/command.go
+++ b/internal/cli/command.go
@@ -13,7 +13,7 @@
 
 func (p *Program) flags(name string) *flag.FlagSet {
 	flags := flag.NewFlagSet(name, flag.ContinueOnError)
-	flags.SetOutput(p.Stderr)
+	flags.SetOutput(&p.help)
 	return flags
 }
 
@@ -49,13 +49,20 @@
 				return err
 			}
 			if len(positional) != wanted {
-				return failure(result.UsageError, "%s takes %d arguments (%s), not %d", name, wanted, arguments, len(positional))
+				return failure(result.UsageError, "%s takes %s, not %d", name, describe(arguments), len(positional))
 			}
 			return asTyped(run(ctx, positional))
 		},
 	}
 }
 
+func describe(arguments string) string {
+	if arguments == "" {
+		return "no arguments"
+	}
+	return "the arguments " + arguments
+}
+
 // separate parses the flags among args and returns the other arguments. All arguments after "--" are positional.
 func separate(flags *flag.FlagSet, args []string) ([]string, error) {
 	var positional []string
--- a/internal/cli/config_command.go
+++ b/internal/cli/config_command.go
@@ -127,10 +127,18 @@
 
 func (p *Program) diff(opened *session, loaded config.Loaded) error {
 	state := opened.state()
-	fmt.Fprintf(p.Stdout, "base: %d (by %q)\n", state.Version, state.Author)
-	for _, change := range config.Preview(state, loaded.State) {
+	if state.Version == 0 {
+		fmt.Fprintln(p.Stdout, "base: 0 (nothing is published yet)")
+	} else {
+		fmt.Fprintf(p.Stdout, "base: %d (by %q)\n", state.Version, state.Author)
+	}
+	changes := config.Preview(state, loaded.State)
+	for _, change := range changes {
 		fmt.Fprintln(p.Stdout, change)
 	}
+	if len(changes) == 0 {
+		fmt.Fprintln(p.Stdout, "no changes")
+	}
 	patch, err := config.Diff(state, loaded.State, state.Author)
 	if err != nil || len(patch.Set)+len(patch.Delete) == 0 {
 		return err
@@ -150,7 +158,7 @@
 	return p.command("publish", "", "publish the files", flags, func(ctx context.Context, _ []string) error {
 		version, err := strconv.ParseUint(*base, 10, 64)
 		if err != nil {
-			return failure(result.UsageError, "-base must be the version that config diff printed, not %q", *base)
+			return failure(result.UsageError, "-base (TARRAGONPOINT_BASE): must be the number that config diff printed after \"base:\", not %q", *base)
 		}
 		loaded, err := files.load()
 		if err != nil {
--- a/internal/cli/failure.go
+++ b/internal/cli/failure.go
@@ -78,14 +78,34 @@
 	if typed == nil {
 		return failure(result.UsageError, "%v", err)
 	}
-	message := typed.Message()
-	if typed.Cause() != nil {
-		message = typed.Error()
+	return failure(codeOf(err), "%s", sentence(err))
+}
+
+// codeOf returns the code of the first error in a chain of causes that has one, or result.Internal.
+func codeOf(err error) result.Code {
+	for typed := errorx.Cast(err); typed != nil; typed = errorx.Cast(typed.Cause()) {
+		for _, known := range codesOfTypes {
+			if typed.IsOfType(known.kind) {
+				return known.code
+			}
+		}
 	}
-	for _, known := range codesOfTypes {
-		if typed.IsOfType(known.kind) {
-			return failure(known.code, "%s", message)
+	return result.Internal
+}
+
+// sentence returns the messages of an error and its causes without the names of Go types.
+func sentence(err error) string {
+	var parts []string
+	for err != nil {
+		typed := errorx.Cast(err)
+		if typed == nil {
+			parts = append(parts, err.Error())
+			break
+		}
+		if message := typed.Message(); message != "" {
+			parts = append(parts, message)
 		}
+		err = typed.Cause()
 	}
-	return failure(result.Internal, "%s", message)
+	return strings.Join(parts, ": ")
 }
--- a/internal/cli/log.go
+++ b/internal/cli/log.go
@@ -83,7 +83,7 @@
 	opened := &session{program: p, flags: flags, log: log, follower: newFollower(log, flags.timeout/callsPerTimeout)}
 	if err := opened.follower.catchUp(ctx); err != nil {
 		cancel()
-		return nil, nil, nil, failure(result.LogUnavailable, "the config stream cannot be read: %v", err)
+		return nil, nil, nil, failure(result.LogUnavailable, "the config stream cannot be read: %s", sentence(err))
 	}
 	return ctx, cancel, opened, nil
 }
--- a/internal/cli/program.go
+++ b/internal/cli/program.go
@@ -8,6 +8,7 @@
 package cli
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"flag"
@@ -41,6 +42,9 @@
 	HTTP *http.Client
 	// Pause waits between two attempts to reach the log, or until ctx ends.
 	Pause func(ctx context.Context, wait time.Duration)
+
+	// help collects help texts, which the flag package also writes for each wrong flag. They are printed only if asked for.
+	help bytes.Buffer
 }
 
 // New returns a program for the process's standard output and error.
@@ -60,7 +64,11 @@
 // Run runs the command that args name, without the program's name, and returns the exit code.
 func (p *Program) Run(ctx context.Context, args []string) int {
 	err := p.root().ParseAndRun(ctx, args)
-	if err == nil || errors.Is(err, flag.ErrHelp) {
+	if errors.Is(err, flag.ErrHelp) {
+		fmt.Fprint(p.Stderr, p.help.String())
+		return result.ExitOK
+	}
+	if err == nil {
 		return result.ExitOK
 	}
 	failed := asFailure(err)
--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -151,6 +151,7 @@
 		return syntaxFault(file, nil, "", err.Error(), "correct the file's YAML")
 	}
 	at := located.GetToken()
+	problem := located.GetMessage()
 	cure := "correct the file's YAML"
 	var unknown *yaml.UnknownFieldError
 	var mismatch *yaml.TypeError
@@ -158,9 +159,13 @@
 	case errors.As(err, &unknown):
 		cure = "remove the field or correct its name; docs/CONFIGURATION.md lists all fields"
 	case errors.As(err, &mismatch):
+		problem = "the value has the wrong type"
+		if at != nil {
+			problem = fmt.Sprintf("the value %q has the wrong type", at.Value)
+		}
 		cure = "write a value of the type that docs/CONFIGURATION.md states for the field"
 	}
-	return syntaxFault(file, at, fieldAt(root, at), located.GetMessage(), cure)
+	return syntaxFault(file, at, fieldAt(root, at), problem, cure)
 }
 
 // fieldAt returns the name of the field whose key or value is at a token, or "".
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -43,6 +43,10 @@
 	if err != nil {
 		return Loaded{}, err
 	}
+	if positions.node == nil {
+		return Loaded{}, syntaxFault(inventoryFile.Name, nil, "", "the file is empty, and publishing it would remove everything",
+			"list the regions; an export that failed leaves such a file")
+	}
 	rulePositions, err := decodeFile(rulesFile, &loaded.State.Rules)
 	if err != nil {
 		return Loaded{}, err
--- a/internal/config/file_test.go
+++ b/internal/config/file_test.go
@@ -53,6 +53,7 @@
 		"wrong type":      {"slots: 16", "slots: many", `inventory.yaml:12:12: slots`},
 		"overflow":        {"slots: 16", "slots: 99999999999", `inventory.yaml:12:12: slots`},
 		"bare duration":   {"timeout: 2s", "timeout: 2", `inventory.yaml:17:14: timeout: "2" is not a duration`},
+		"wrong type text": {"slots: 16", "slots: many", `slots: the value "many" has the wrong type; write a value of the type`},
 		"alias":           {"region: north", "region: &x north", `anchors`},
 		"second document": {"tenants:", "---\ntenants:", `second document`},
 		"not YAML":        {"regions:", "regions: [", `inventory.yaml:`},
@@ -124,3 +125,11 @@
 		assert.Contains(t, err.Error(), want)
 	}
 }
+
+// TestEmptyInventory guards against an export that failed and whose empty file would remove all entities.
+func TestEmptyInventory(t *testing.T) {
+	for _, inventory := range []string{"", "# nothing\n", "null\n"} {
+		_, err := load(t, inventory, "")
+		require.ErrorContains(t, err, "inventory.yaml: the file is empty", inventory)
+	}
+}
