--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -65,12 +65,12 @@
 	return e.plugins.set.Stop(ending)
 }
 
-// warnOfInterruption reports requests that outlived the drain time. Their callers were told that the outcome is unknown, or
-// lost their connection.
+// warnOfInterruption reports that the drain time ended first. Callers of requests that were still running were told that the
+// outcome is unknown, or lost their connection.
 func (e *entry) warnOfInterruption(errs ...error) {
 	for _, err := range errs {
 		if err != nil {
-			e.log.Warn("Requests were still running when the drain time ended. They were interrupted.", logging.ErrorType(err))
+			e.log.Warn("The drain time ended before the requests did. Those still running were interrupted.", logging.ErrorType(err))
 			return
 		}
 	}
