--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -116,6 +116,8 @@
 
 // TestWarnings guards against weak settings that nobody notices, and against warnings about good ones.
 func TestWarnings(t *testing.T) {
+	page, err := os.ReadFile("../../docs/SETTINGS.md")
+	require.NoError(t, err)
 	for arg, flag := range map[string]string{
 		"-drain-time=1s":                         "drain-time",
 		"-balancer-delay=0s":                     "balancer-delay",
@@ -132,10 +134,11 @@
 		found := Warnings(entry)
 		require.Len(t, found, 1, arg)
 		assert.Equal(t, flag, found[0].Flag)
+		assert.Contains(t, string(page), "| `-"+flag+"` | "+found[0].Text+" |\n")
 	}
-	entry, err := parse(t, append(complete(), "-peers=vm-2=127.0.0.1:7002")...)
+	good, err := parse(t, append(complete(), "-peers=vm-2=127.0.0.1:7002")...)
 	require.NoError(t, err)
-	assert.Empty(t, Warnings(entry))
+	assert.Empty(t, Warnings(good))
 	environment := []string{"TARRAGONPOINT_RAED_TIMEOUT=3s", "TARRAGONPOINT_ZONE=a", "TARRAGONPOINT_ADMIN=b", "PATH=/bin"}
 	assert.Equal(t, []string{"TARRAGONPOINT_RAED_TIMEOUT"}, UnknownVariables(environment))
 }
