--- a/internal/cli/change_command.go
+++ b/internal/cli/change_command.go
@@ -53,30 +53,40 @@
 
 func setZone(isOut bool) edit {
 	return func(state config.State, name string) (config.State, error) {
-		zone, found := state.Zones[model.Zone(name)]
-		if !found {
-			return state, failure(result.UsageError, "version %d has no zone %q; it has %s", state.Version, name, listed(state.Zones))
+		zones, err := changed(state, state.Zones, model.Zone(name), "zone")
+		if err != nil {
+			return state, err
 		}
+		zone := zones[model.Zone(name)]
 		zone.OutOfService = isOut
-		state.Zones = maps.Clone(state.Zones)
-		state.Zones[zone.Name] = zone
+		zones[zone.Name] = zone
+		state.Zones = zones
 		return state, nil
 	}
 }
 
 func setDrain(isDrained bool) edit {
 	return func(state config.State, name string) (config.State, error) {
-		target, found := state.Targets[model.TargetID(name)]
-		if !found {
-			return state, failure(result.UsageError, "version %d has no target %q; it has %s", state.Version, name, listed(state.Targets))
+		targets, err := changed(state, state.Targets, model.TargetID(name), "target")
+		if err != nil {
+			return state, err
 		}
+		target := targets[model.TargetID(name)]
 		target.Drain = isDrained
-		state.Targets = maps.Clone(state.Targets)
-		state.Targets[target.ID] = target
+		targets[target.ID] = target
+		state.Targets = targets
 		return state, nil
 	}
 }
 
+// changed returns a copy of the entities in which the named one may be changed, or a Failure if there is none.
+func changed[K ~string, V any](state config.State, entities map[K]V, name K, kind string) (map[K]V, error) {
+	if _, found := entities[name]; !found {
+		return nil, failure(result.UsageError, "version %d has no %s %q; it has %s", state.Version, kind, name, listed(entities))
+	}
+	return maps.Clone(entities), nil
+}
+
 // listedNames is the number of names that an error lists.
 const listedNames = 20
 
