Warn when a service has no target in service, and make the default drain time exceed the longest request

A request of 30 s that arrives in the balancer delay outlived the default drain time of 30 s; it is 35 s now, and the warning takes the delay into account. zone out and target drain name services that are left without a target.

--- a/internal/cli/change_command.go
+++ b/internal/cli/change_command.go
@@ -47,6 +47,9 @@
 		}
 		defer cancel()
 		published, err := opened.change(ctx, func(state config.State) (config.State, error) { return change(state, args[0]) })
+		if err == nil {
+			p.warnOfIdleServices(opened.state())
+		}
 		return p.conclude(published, err)
 	})
 }
@@ -87,6 +90,20 @@
 	return maps.Clone(entities), nil
 }
 
+// warnOfIdleServices names the services whose targets are all drained or in zones out of service: their requests are refused.
+func (p *Program) warnOfIdleServices(state config.State) {
+	inService := map[model.Service]bool{}
+	for _, target := range state.Targets {
+		isUsed := !target.Drain && !state.Zones[target.Zone].OutOfService
+		inService[target.Service] = inService[target.Service] || isUsed
+	}
+	for _, service := range slices.Sorted(maps.Keys(inService)) {
+		if !inService[service] {
+			fmt.Fprintf(p.Stderr, "warning: service %q has no target in service; its requests are refused\n", service)
+		}
+	}
+}
+
 // listedNames is the number of names that an error lists.
 const listedNames = 20
 
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -230,3 +230,13 @@
 	assert.Contains(t, h.run(ctx, t, "target drain x").stderr, " more;")
 	assert.Contains(t, h.run(ctx, t, "config diff"+granite).stdout, "no changes\n")
 }
+
+// TestLastZoneOut guards against an operator who takes the last zone of a service out without noticing it.
+func TestLastZoneOut(t *testing.T) {
+	h, ctx := newHarness(), t.Context()
+	require.Equal(t, result.ExitOK, h.run(ctx, t, "config publish --base 0"+granite).exit)
+	for _, zone := range []string{"seacoast-a", "seacoast-b", "worcester-a"} {
+		assert.Empty(t, h.run(ctx, t, "zone out "+zone).stderr)
+	}
+	assert.Contains(t, h.run(ctx, t, "zone out worcester-b").stderr, `warning: service "draft-review" has no target in service`)
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -126,6 +126,7 @@
 		"-log-retention=1m":                      "log-retention",
 		"-log-level=debug":                       "log-level",
 		"-peers=":                                "peers",
+		"-peers=vm-1=127.0.0.1:7001":             "peers",
 		"-peer-keys=" + strings.Repeat("ab", 20): "peer-keys",
 	} {
 		entry, err := parse(t, append(complete(), "-peers=vm-2=127.0.0.1:7002", arg)...)
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -23,7 +23,7 @@
 	{"read-timeout", "duration", "10s", "Longest time to read a caller's request.", func(e *Entry) flag.Value { return duration{&e.ReadTimeout} }},
 	{"max-connections", "connections", "4096", "Most open connections of callers.", func(e *Entry) flag.Value { return count[int]{&e.MaxConnections} }},
 	{"request-timeout", "duration", "30s", "Longest time for a request, whatever its deadline.", func(e *Entry) flag.Value { return duration{&e.RequestTimeout} }},
-	{"drain-time", "duration", "30s", "Longest time to finish running requests on a planned stop.", func(e *Entry) flag.Value { return duration{&e.DrainTime} }},
+	{"drain-time", "duration", "35s", "Longest time to finish running requests on a planned stop.", func(e *Entry) flag.Value { return duration{&e.DrainTime} }},
 	{"balancer-delay", "duration", "1s", "Time at the start of a planned stop in which the VM reports that it is not ready but still takes requests, so that the balancer notices first.", func(e *Entry) flag.Value { return duration{&e.BalancerDelay} }},
 	{"log-retention", "duration", "10m", "Shortest time for which the log keeps records. Snapshots are appended twice as often.", func(e *Entry) flag.Value { return duration{&e.LogRetention} }},
 	{"log-level", "debug, info, warn or error", "info", "Least level of the log lines that are written.", func(e *Entry) flag.Value { return text[string]{&e.LogLevel} }},
--- a/internal/settings/warning.go
+++ b/internal/settings/warning.go
@@ -36,12 +36,12 @@
 	}
 	warnIf(!isLoopback(entry.ListenAdmin), "listen-admin",
 		"Other machines can reach the admin address, which has no authentication. Limit access in the network.")
-	warnIf(len(entry.Peers) == 0, "peers",
+	warnIf(!slices.ContainsFunc(entry.Peers, func(p Peer) bool { return p.VM != entry.VM }), "peers",
 		"No other entry VM is named, so this VM cannot start while the log is down.")
 	warnIf(slices.ContainsFunc(entry.PeerKeys, isGuessable), "peer-keys",
 		"A shared key has few different bytes. Use at least 32 random bytes.")
-	warnIf(entry.RequestTimeout > entry.DrainTime && entry.DrainTime > entry.BalancerDelay, "request-timeout",
-		"A request may take longer than the drain time, so a planned stop can interrupt it.")
+	warnIf(entry.RequestTimeout > entry.DrainTime-entry.BalancerDelay && entry.DrainTime > entry.BalancerDelay, "request-timeout",
+		"A request may take longer than the drain time without the balancer delay, so a planned stop can interrupt it.")
 	warnIf(entry.DrainTime <= entry.BalancerDelay, "drain-time",
 		"The balancer delay uses up the drain time, so a planned stop interrupts running requests.")
 	warnIf(entry.BalancerDelay == 0, "balancer-delay",
