Space the joins of a removed member

Cause: two members of one cell that see the log but not each other removed each other and joined again without a pause: 264 records in 20 s of virtual time (TestSilentMembersDoNotFloodTheLog), about 2,000 a second with real processes. Ruled out: never removing a member that the log still hears (a paused member would keep its lessor ranks). A removed VM waits 0.5 s to 16 s, doubling, before it joins again, and a member that has just joined gets the full silence limit.

--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -1,13 +1,22 @@
 package control
 
 import (
+	"time"
+
 	"github.com/tarragonpoint/tarragonpoint/internal/cell"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
 	"github.com/tarragonpoint/tarragonpoint/internal/record"
 )
 
-// standInCount is the number of VMs that join a cell whose own members are all gone.
-const standInCount = 2
+const (
+	// standInCount is the number of VMs that join a cell whose own members are all gone.
+	standInCount = 2
+	// minRejoin and maxRejoin bound the time between a removal and the next join.
+	minRejoin = 500 * time.Millisecond
+	maxRejoin = 16 * time.Second
+	// rejoinCalm is the time without a removal after which the delay starts anew.
+	rejoinCalm = time.Minute
+)
 
 // isMember reports whether this process is a member of a cell under its current incarnation.
 func (n *Node) isMember(zone model.Zone) bool {
@@ -43,12 +52,30 @@
 	}
 	if highest >= n.incarnation {
 		n.incarnation = highest + 1
+		n.rejoin.removed(n.now)
 		n.emit(Notice{Kind: NoticeRemoved})
 	}
 }
 
+// rejoinDelay spaces the joins of a VM that was removed. Two members that see the log but not each other remove each other
+// for as long as that lasts, and would flood the log without a pause.
+type rejoinDelay struct {
+	delay     time.Duration
+	at        model.Instant
+	removedAt model.Instant
+}
+
+func (r *rejoinDelay) removed(now model.Instant) {
+	if now.Sub(r.removedAt) >= rejoinCalm {
+		r.delay = 0
+	}
+	r.removedAt = now
+	r.delay = min(max(minRejoin, 2*r.delay), maxRejoin)
+	r.at = now.Add(r.delay)
+}
+
 func (n *Node) join(zone model.Zone) {
-	if n.isMember(zone) {
+	if n.isMember(zone) || n.now < n.rejoin.at {
 		return
 	}
 	join := record.MemberJoin{Cell: zone, Member: record.Member{
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -75,6 +75,7 @@
 	logSeenAt model.Instant
 	// ownersChanged is true if overrides changed the owners of slots since the last table.
 	ownersChanged bool
+	rejoin        rejoinDelay
 
 	ready   bool
 	leaving bool
--- a/internal/control/records.go
+++ b/internal/control/records.go
@@ -98,7 +98,8 @@
 	switch {
 	case r.MemberJoin != nil:
 		n.onCellChange(r.MemberJoin.Cell)
-		n.detector.Expect(r.MemberJoin.Member.VM, n.now)
+		// A member that has just joined gets the full time until it counts as silent.
+		n.detector.Heard(r.MemberJoin.Member.VM, n.now)
 	case r.MemberRemove != nil:
 		n.onCellChange(r.MemberRemove.Cell)
 	case r.VMGone != nil:
