Sum the rates of hot keys over entry VMs and weigh cold targets in the planner

Change: reports carry service totals, the planner adds all reports up, and a cold target takes slots in proportion to its ramp. Ruled out: per-slot counters at every entry VM (memory grows with slots). Seen: go test ./internal/proof -run 'TestFailover|TestOwners|TestControl' passes in 105 s on a busy machine.

--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -59,7 +59,7 @@
 type Leave struct{}
 
 // HotKeysFound brings the hot keys that this VM counted.
-type HotKeysFound struct{ Keys []message.HotKey }
+type HotKeysFound struct{ Report message.HotKeys }
 
 func (Tick) isEvent()         {}
 func (LogRead) isEvent()      {}
--- a/internal/control/hot.go
+++ b/internal/control/hot.go
@@ -3,60 +3,87 @@
 import (
 	"time"
 
+	"github.com/tarragonpoint/tarragonpoint/internal/config"
 	"github.com/tarragonpoint/tarragonpoint/internal/message"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
 )
 
 const (
-	// hotLife is the time for which a reported rate counts.
-	hotLife = time.Minute
-	// maxHotKeys bounds the hot keys that the planner follows.
-	maxHotKeys = 1024
+	// hotLife is the time for which a report counts: several intervals between two reports.
+	hotLife = 20 * time.Second
+	// maxHotReports bounds the entry VMs whose reports the planner keeps.
+	maxHotReports = 1024
 	// maxSplitKeys bounds the keys split because they are hot, so that a shifting load does not grow the state for ever.
 	maxSplitKeys = 4096
 )
 
 // hotKeys holds the rates of hot keys as entry VMs reported them.
 type hotKeys struct {
-	rates map[model.Slot]hotRate
+	reports map[model.VMID]hotReport
+	// rates are the sums over all reports that count.
+	rates  map[model.Slot]float64
+	totals map[model.Service]float64
+	hot    map[model.Service]float64
 }
 
-type hotRate struct {
-	rate float64
-	at   model.Instant
+type hotReport struct {
+	report message.HotKeys
+	at     model.Instant
 }
 
-func newHotKeys() *hotKeys { return &hotKeys{rates: map[model.Slot]hotRate{}} }
+func newHotKeys() *hotKeys {
+	h := &hotKeys{reports: map[model.VMID]hotReport{}}
+	h.sum()
+	return h
+}
 
-// report takes the hot keys that one entry VM counted. The highest recent rate of a key counts.
-func (h *hotKeys) report(now model.Instant, keys []message.HotKey) {
-	for slot, known := range h.rates {
+// report takes what one entry VM counted in place of its last report.
+func (h *hotKeys) report(now model.Instant, from model.VMID, report message.HotKeys) {
+	for vm, known := range h.reports {
 		if now.Sub(known.at) >= hotLife {
-			delete(h.rates, slot)
+			delete(h.reports, vm)
 		}
 	}
-	for _, key := range keys {
-		slot := key.Slot.Parent().Split(key.KeyHash)
-		known, exists := h.rates[slot]
-		if !exists && len(h.rates) >= maxHotKeys {
-			continue
+	if _, known := h.reports[from]; known || len(h.reports) < maxHotReports {
+		h.reports[from] = hotReport{report: report, at: now}
+	}
+	h.sum()
+}
+
+func (h *hotKeys) sum() {
+	h.rates = map[model.Slot]float64{}
+	h.totals = map[model.Service]float64{}
+	h.hot = map[model.Service]float64{}
+	for _, vm := range sortedKeys(h.reports) {
+		known := h.reports[vm].report
+		for _, key := range known.Keys {
+			h.rates[key.Slot.Parent().Split(key.KeyHash)] += key.Rate
+			h.hot[key.Slot.Service] += key.Rate
 		}
-		if !exists || key.Rate >= known.rate {
-			h.rates[slot] = hotRate{rate: key.Rate, at: now}
+		for _, total := range known.Totals {
+			h.totals[total.Service] += total.Rate
 		}
 	}
 }
 
-func (h *hotKeys) rate(slot model.Slot) float64 { return h.rates[slot].rate }
+func (h *hotKeys) rate(slot model.Slot) float64 { return h.rates[slot] }
+
+// baseRate returns the mean rate of the hash slots of a service without its hot keys; 0 if it is not known.
+func (h *hotKeys) baseRate(service config.Service) float64 {
+	if service.Slots == 0 {
+		return 0
+	}
+	return max(0, h.totals[service.Name]-h.hot[service.Name]) / float64(service.Slots)
+}
 
 // onHotKeys passes the keys that this VM counted on to the planner.
 func (n *Node) onHotKeys(found HotKeysFound) {
 	if n.isPlanner() {
-		n.hot.report(n.now, found.Keys)
+		n.hot.report(n.now, n.settings.VM, found.Report)
 		return
 	}
 	if planner := n.planner(); planner != "" {
-		n.send(planner, message.Message{HotKeys: &message.HotKeys{Keys: found.Keys}})
+		n.send(planner, message.Message{HotKeys: &found.Report})
 	}
 }
 
@@ -81,7 +108,7 @@
 		return
 	}
 	for _, slot := range sortedSlots(n.hot.rates) {
-		if slot.Class == model.AnyRegion && n.hot.rates[slot].rate >= threshold {
+		if slot.Class == model.AnyRegion && n.hot.rates[slot] >= threshold {
 			n.split(slot)
 		}
 	}
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -48,7 +48,7 @@
 	case m.MoveRequest != nil:
 		n.startMoves(m.MoveRequest.Moves)
 	case m.HotKeys != nil:
-		n.hot.report(n.now, m.HotKeys.Keys)
+		n.hot.report(n.now, received.From, *m.HotKeys)
 	default:
 		n.onOverrideMessage(received.From, m)
 	}
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -10,6 +10,7 @@
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
 	"github.com/tarragonpoint/tarragonpoint/internal/placement"
 	"github.com/tarragonpoint/tarragonpoint/internal/record"
+	"github.com/tarragonpoint/tarragonpoint/internal/route"
 )
 
 const (
@@ -142,6 +143,9 @@
 		ImbalancePercent: state.Rules.ImbalancePercent,
 		MaxMoves:         maxMoves,
 	}
+	if class == model.AnyRegion {
+		input.BaseRate = n.hot.baseRate(service)
+	}
 	pins := n.pins(state, service.Name, class)
 	for index := range service.Slots {
 		slot := model.Slot{Service: service.Name, Class: class, Index: index}
@@ -185,10 +189,20 @@
 		InService:  n.isInService(state, configured),
 		Draining:   configured.Drain || (status != nil && status.Draining),
 		Alive:      status != nil && status.Serving,
+		Weight:     n.coldWeight(state, configured, status),
 		OtherSlots: n.assign.state.OwnedCount(configured.ID),
 	}
 }
 
+// coldWeight returns the part of a full share of slots that a target in a cold start takes.
+func (n *Node) coldWeight(state config.State, configured config.Target, status *route.Status) float64 {
+	concurrency := state.Services[configured.Service].Concurrency
+	if status == nil || !status.Cold || concurrency <= 0 {
+		return 1
+	}
+	return float64(max(1, status.Limit)) / float64(concurrency)
+}
+
 // pins returns the declared target of each key of a service and class that has a slot of its own.
 func (n *Node) pins(state config.State, service model.Service, class model.Class) map[model.Slot]model.TargetID {
 	pins := map[model.Slot]model.TargetID{}
--- a/internal/entry/hotkeys.go
+++ b/internal/entry/hotkeys.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +23,8 @@
 	hotKeyInterval = 5 * time.Second
 	// hotKeyCount is the number of keys in a report.
 	hotKeyCount = 160
+	// hotKeyShare is the part of the rate of a hot key from which one entry VM reports it. The planner adds the reports up.
+	hotKeyShare = 16
 )
 
 // hotKeys counts requests by key. Only keys without home regions are counted, because reports leave the region.
@@ -28,10 +32,18 @@
 	clock   clock
 	mu      sync.Mutex
 	counter *hotkey.Counter[model.Slot]
+	// totals count the requests of each service since the last report.
+	totals     map[model.Service]int
+	reportedAt model.Instant
 }
 
 func newHotKeys(c clock) *hotKeys {
-	return &hotKeys{clock: c, counter: hotkey.NewCounter[model.Slot](hotKeyCapacity, hotKeyHalfLife, c.Now())}
+	return &hotKeys{
+		clock:      c,
+		counter:    hotkey.NewCounter[model.Slot](hotKeyCapacity, hotKeyHalfLife, c.Now()),
+		totals:     map[model.Service]int{},
+		reportedAt: c.Now(),
+	}
 }
 
 // add counts one request for a key.
@@ -46,17 +58,29 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.counter.Add(h.clock.Now(), slot)
+	h.totals[service]++
 }
 
-func (h *hotKeys) top() []message.HotKey {
+// take returns the keys with at least the lowest rate and the rates of the services since the last call.
+func (h *hotKeys) take(lowest float64) message.HotKeys {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	entries := h.counter.Top(h.clock.Now(), hotKeyCount)
-	keys := make([]message.HotKey, 0, len(entries))
-	for _, entry := range entries {
-		keys = append(keys, message.HotKey{Slot: entry.Key.Parent(), KeyHash: entry.Key.KeyHash, Rate: entry.Rate})
+	now := h.clock.Now()
+	var report message.HotKeys
+	for _, entry := range h.counter.Top(now, hotKeyCount) {
+		if entry.Rate >= lowest {
+			key := message.HotKey{Slot: entry.Key.Parent(), KeyHash: entry.Key.KeyHash, Rate: entry.Rate}
+			report.Keys = append(report.Keys, key)
+		}
 	}
-	return keys
+	span := max(now.Sub(h.reportedAt), time.Millisecond).Seconds()
+	for _, service := range slices.Sorted(maps.Keys(h.totals)) {
+		rate := message.ServiceRate{Service: service, Rate: float64(h.totals[service]) / span}
+		report.Totals = append(report.Totals, rate)
+	}
+	h.totals = map[model.Service]int{}
+	h.reportedAt = now
+	return report
 }
 
 // report posts the hottest keys to the control loop until ctx ends. threshold returns the rate, in requests a second,
@@ -70,15 +94,8 @@
 			return
 		case <-ticker.C:
 		}
-		lowest := threshold()
-		var hot []message.HotKey
-		for _, key := range h.top() {
-			if lowest > 0 && key.Rate >= lowest {
-				hot = append(hot, key)
-			}
-		}
-		if len(hot) > 0 {
-			l.post(ctx, control.HotKeysFound{Keys: hot})
+		if hot := threshold(); hot > 0 {
+			l.post(ctx, control.HotKeysFound{Report: h.take(hot / hotKeyShare)})
 		}
 	}
 }
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -191,9 +191,17 @@
 	Rate    float64    `cbor:"3,keyasint"`
 }
 
-// HotKeys reports hot keys to the lessor of their owner.
+// HotKeys reports the hottest keys of one entry VM to the planner.
 type HotKeys struct {
 	Keys []HotKey `cbor:"1,keyasint"`
+	// Totals are the rates of all keyed requests without home regions, by service.
+	Totals []ServiceRate `cbor:"2,keyasint,omitempty"`
+}
+
+// ServiceRate is the rate of a service's requests at one entry VM, in requests a second.
+type ServiceRate struct {
+	Service model.Service `cbor:"1,keyasint"`
+	Rate    float64       `cbor:"2,keyasint"`
 }
 
 // MoveRequest asks the lessor of the slots' owners to move them. The lessor decides when it is safe.
--- a/internal/proof/faults_test.go
+++ b/internal/proof/faults_test.go
@@ -213,7 +213,7 @@
 	slot := model.Slot{Service: testService, Class: model.AnyRegion, Index: index}
 	rate := float64(rapid.IntRange(100, 1000).Draw(t, "rate"))
 	keys := []message.HotKey{{Slot: slot, KeyHash: hotHash(index), Rate: rate}}
-	w.step(w.pickVM(t), control.HotKeysFound{Keys: keys})
+	w.step(w.pickVM(t), control.HotKeysFound{Report: message.HotKeys{Keys: keys}})
 }
 
 // healAll ends all faults.
