Check acknowledged assignments, regions and service state under random faults

The fuzz world keeps the whole history of the log and a second region with home tenants. A ledger that folds nothing itself requires that folded owners are never lost; tables must follow the folded configuration. Owners are only checked again after a target's state changed, because without that targets can only stop serving.

--- a/internal/proof/control_fuzz_test.go
+++ b/internal/proof/control_fuzz_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/tarragonpoint/tarragonpoint/internal/config"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/route"
 )
 
 const (
@@ -29,10 +30,11 @@
 	versions map[string]model.Offset
 	runs     map[string]int
 	digests  map[model.Offset]string
+	ledger   *ledger
 }
 
 func newOracle(w *world) *oracle {
-	return &oracle{w: w, versions: map[string]model.Offset{}, runs: map[string]int{}, digests: map[model.Offset]string{}}
+	return &oracle{w: w, versions: map[string]model.Offset{}, runs: map[string]int{}, digests: map[model.Offset]string{}, ledger: newLedger(w)}
 }
 
 // check runs after every event.
@@ -46,6 +48,8 @@
 			continue
 		}
 		o.checkVersion(vm)
+		o.ledger.check(vm)
+		o.checkService(vm)
 		state := string(digest(vm))
 		offset := vm.node.Assignments().Offset
 		if known, ok := o.digests[offset]; ok && known != state {
@@ -86,17 +90,30 @@
 // configuration that reverts, states that differ at the same offset, and a system that does not recover.
 func TestControlUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		seed := rapid.Int64().Draw(t, "seed")
-		w := newWorld(seed, 2, 3, 3, t.Fatalf)
-		o := newOracle(w)
-		w.runFor(5*time.Second, o.check)
-		actions := w.actions(t, o.check)
-		actions[""] = func(*rapid.T) { o.checkStates() }
-		t.Repeat(actions)
+		w, o := faultyWorld(t, layout{zones: 2, vmsPerZone: 3, targetsPerZone: 3, fencing: route.FencingChecked})
 		w.checkRecovery(o)
 	})
 }
 
+// TestTwoRegionsUnderFaults adds tenants with home regions. It guards against slots of a class that leave its region.
+func TestTwoRegionsUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w, o := faultyWorld(t, layout{zones: 4, vmsPerZone: 2, targetsPerZone: 2, home: true, fencing: route.FencingChecked})
+		w.checkRecovery(o)
+	})
+}
+
+// faultyWorld returns a world of the given size after random faults.
+func faultyWorld(t *rapid.T, size layout) (*world, *oracle) {
+	w := newWorldOf(rapid.Int64().Draw(t, "seed"), size, t.Fatalf)
+	o := newOracle(w)
+	w.runFor(5*time.Second, o.check)
+	actions := w.actions(t, o.check)
+	actions[""] = func(*rapid.T) { o.checkStates() }
+	t.Repeat(actions)
+	return w, o
+}
+
 // checkRecovery ends all faults and requires that everything is served again, first after the faults and then after one
 // more loss.
 func (w *world) checkRecovery(o *oracle) {
@@ -113,6 +130,7 @@
 		}
 	}
 	w.awaitServed(o, start, settleLimit, "after all faults ended")
+	o.ledger.checkCovered()
 	w.runFor(calmTime, o.check)
 	w.awaitServed(o, w.now, lossLimit, "before the loss")
 	w.loseOne()
@@ -149,9 +167,9 @@
 }
 
 func (w *world) awaitServed(o *oracle, start time.Duration, limit time.Duration, when string) {
-	for w.served() < slotsPerCell {
+	for w.served() < w.slotCount() {
 		if w.now-start > limit {
-			w.fatal("%s only %d of %d slots are served after %v\n%s", when, w.served(), slotsPerCell, limit, w.describe())
+			w.fatal("%s only %d of %d slots are served after %v\n%s", when, w.served(), w.slotCount(), limit, w.describe())
 			return
 		}
 		w.runFor(25*time.Millisecond, o.check)
--- a/internal/proof/faults_test.go
+++ b/internal/proof/faults_test.go
@@ -55,23 +55,25 @@
 	}
 	_ = t
 	return map[string]func(*rapid.T){
-		"pass":          run,
-		"killTarget":    then(func(t *rapid.T) { w.killTarget(w.pickTarget(t)) }),
-		"startTarget":   then(func(t *rapid.T) { w.restartTarget(w.pickTarget(t)) }),
-		"freezeTarget":  then(func(t *rapid.T) { w.pickTarget(t).frozen = true }),
-		"thawTarget":    then(func(t *rapid.T) { w.pickTarget(t).thaw() }),
-		"coldTarget":    then(func(t *rapid.T) { w.pickTarget(t).cold = true }),
-		"loseTarget":    then(func(t *rapid.T) { w.loseTarget(w.pickTarget(t)) }),
-		"restartVM":     then(func(t *rapid.T) { w.restartVM(w.pickVM(t)) }),
-		"killVM":        then(func(t *rapid.T) { w.killVM(w.pickVM(t)) }),
-		"replaceVM":     then(func(t *rapid.T) { w.replaceVM(w.pickVM(t)) }),
-		"pauseVM":       then(func(t *rapid.T) { w.pickVM(t).paused = true }),
-		"resumeVM":      then(func(t *rapid.T) { w.resume(w.pickVM(t)) }),
-		"leaveVM":       then(func(t *rapid.T) { w.step(w.pickVM(t), control.Leave{}) }),
-		"logDown":       then(func(*rapid.T) { w.log.up = false }),
-		"logUp":         then(func(*rapid.T) { w.log.up = true }),
-		"loseAnswers":   then(func(t *rapid.T) { w.log.loseAnswers = rapid.IntRange(1, 5).Draw(t, "answers") }),
-		"slowLog":       then(func(t *rapid.T) { w.slow["log"] = time.Duration(rapid.IntRange(0, 1200).Draw(t, "ms")) * time.Millisecond }),
+		"pass":         run,
+		"killTarget":   then(func(t *rapid.T) { w.killTarget(w.pickTarget(t)) }),
+		"startTarget":  then(func(t *rapid.T) { w.restartTarget(w.pickTarget(t)) }),
+		"freezeTarget": then(func(t *rapid.T) { w.pickTarget(t).frozen = true }),
+		"thawTarget":   then(func(t *rapid.T) { w.pickTarget(t).thaw() }),
+		"coldTarget":   then(func(t *rapid.T) { w.pickTarget(t).turnCold() }),
+		"loseTarget":   then(func(t *rapid.T) { w.loseTarget(w.pickTarget(t)) }),
+		"restartVM":    then(func(t *rapid.T) { w.restartVM(w.pickVM(t)) }),
+		"killVM":       then(func(t *rapid.T) { w.killVM(w.pickVM(t)) }),
+		"replaceVM":    then(func(t *rapid.T) { w.replaceVM(w.pickVM(t)) }),
+		"pauseVM":      then(func(t *rapid.T) { w.pickVM(t).paused = true }),
+		"resumeVM":     then(func(t *rapid.T) { w.resume(w.pickVM(t)) }),
+		"leaveVM":      then(func(t *rapid.T) { w.step(w.pickVM(t), control.Leave{}) }),
+		"logDown":      then(func(*rapid.T) { w.log.up = false }),
+		"logUp":        then(func(*rapid.T) { w.log.up = true }),
+		"loseAnswers":  then(func(t *rapid.T) { w.log.loseAnswers = rapid.IntRange(1, 5).Draw(t, "answers") }),
+		"slowLog": then(func(t *rapid.T) {
+			w.slow["log"] = time.Duration(rapid.IntRange(0, 1200).Draw(t, "ms")) * time.Millisecond
+		}),
 		"expire":        then(func(*rapid.T) { w.expire(record.AssignStream); w.expire(record.ConfigStream) }),
 		"cutOneWay":     then(w.cutOneWay),
 		"cutZone":       then(w.cutZone),
@@ -82,6 +84,10 @@
 		"drainTarget":   then(w.toggleDrain),
 		"racePublish":   then(func(t *rapid.T) { w.toggleZone(t); w.toggleDrain(t) }),
 		"hotKey":        then(w.reportHotKey),
+		"restartAll":    then(func(*rapid.T) { w.restartAll() }),
+		"leaveTarget":   then(func(t *rapid.T) { w.toggleLeaving(w.pickTarget(t)) }),
+		"drainSelf":     then(func(t *rapid.T) { x := w.pickTarget(t); x.draining = !x.draining }),
+		"raceSameBase":  then(func(*rapid.T) { w.racePatches() }),
 		"healAll":       then(func(*rapid.T) { w.healAll() }),
 		"pauseTwoVMs":   then(func(t *rapid.T) { w.pickVM(t).paused = true; w.pickVM(t).paused = true }),
 		"freezeAndKill": then(func(t *rapid.T) { w.pickTarget(t).frozen = true; w.killVM(w.pickVM(t)) }),
@@ -139,9 +145,13 @@
 	w.cut[[2]string{from, to}] = true
 }
 
+func (w *world) zoneLetters() []string {
+	return []string{"a", "b", "c", "d"}[:w.layout.zones]
+}
+
 // cutZone cuts a zone off from all others, and perhaps from the platform.
 func (w *world) cutZone(t *rapid.T) {
-	zone := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone")
+	zone := rapid.SampledFrom(w.zoneLetters()).Draw(t, "zone")
 	platformToo := rapid.Bool().Draw(t, "platform too")
 	inside := func(name string) bool { return len(name) > 7 && name[len(name)-2:len(name)-1] == zone }
 	for _, a := range w.endpoints() {
@@ -189,7 +199,7 @@
 }
 
 func (w *world) toggleZone(t *rapid.T) {
-	zone := model.Zone(fmt.Sprintf("zone-%s", rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone")))
+	zone := model.Zone(fmt.Sprintf("zone-%s", rapid.SampledFrom(w.zoneLetters()).Draw(t, "zone")))
 	w.publishConfig(func(s *config.State) {
 		changed := s.Zones[zone]
 		changed.OutOfService = !changed.OutOfService
@@ -222,6 +232,7 @@
 	w.log.up = true
 	w.log.loseAnswers = 0
 	w.listLag = 0
+	w.leaving = map[model.VMID]bool{}
 	for _, name := range w.vmNames() {
 		vm := w.vms[name]
 		w.resume(vm)
@@ -232,6 +243,7 @@
 	for _, id := range w.targetIDs() {
 		t := w.targets[id]
 		t.cold = false
+		t.draining = false
 		if !t.alive && !t.gone {
 			t.start()
 		}
--- /dev/null
+++ b/internal/proof/ledger_test.go
@@ -0,0 +1,87 @@
+package proof
+
+import (
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/record"
+)
+
+// claim is an owner of a slot that some VM has folded.
+type claim struct {
+	owner model.TargetID
+	epoch model.Offset
+}
+
+// ledger remembers the newest acknowledged owner of each slot. It rests on the records that the log ever accepted, and
+// folds nothing itself.
+type ledger struct {
+	w     *world
+	acked map[model.Slot]claim
+	// top is the highest offset that any VM has folded.
+	top model.Offset
+}
+
+func newLedger(w *world) *ledger { return &ledger{w: w, acked: map[model.Slot]claim{}} }
+
+// check requires that a VM holds every acknowledged assignment up to its offset, or one that follows it, and that each of
+// its assignments is what a record of the log says.
+func (l *ledger) check(vm *entryVM) {
+	state := vm.node.Assignments()
+	for slot, known := range l.acked {
+		if known.epoch <= state.Offset && state.Slots[slot].Epoch < known.epoch {
+			l.w.fatal("%s at offset %d lost %v: acknowledged %v, has %v", vm.name, state.Offset, slot, known, state.Slots[slot])
+		}
+	}
+	for slot, ownership := range state.Slots {
+		l.acknowledge(vm, slot, claim{owner: ownership.Owner, epoch: ownership.Epoch})
+	}
+	l.top = max(l.top, state.Offset)
+}
+
+func (l *ledger) acknowledge(vm *entryVM, slot model.Slot, found claim) {
+	known := l.acked[slot]
+	if found == known || found.epoch < known.epoch {
+		return
+	}
+	base, owner := l.recorded(slot, found.epoch)
+	if owner != found.owner {
+		l.w.fatal("%s has %v at %v, but record %d says %q", vm.name, slot, found, found.epoch, owner)
+	}
+	if base < known.epoch {
+		l.w.fatal("record %d of %v rests on %d, which was replaced by %d before", found.epoch, slot, base, known.epoch)
+	}
+	if t := l.w.targets[owner]; t != nil && !l.w.allowed(slot.Class, t) {
+		l.w.fatal("%s has %v at %s outside its region", vm.name, slot, owner)
+	}
+	l.acked[slot] = found
+}
+
+// recorded returns the base epoch and the owner that the record at an offset gives to a slot.
+func (l *ledger) recorded(slot model.Slot, offset model.Offset) (base model.Offset, owner model.TargetID) {
+	r := l.w.log.history[record.AssignStream][offset-1].Record
+	if r.Split != nil && r.Split.Slot == slot {
+		_, owner = l.recorded(slot.Parent(), r.Split.BaseEpoch)
+		return r.Split.BaseEpoch, owner
+	}
+	if r.Reassign != nil {
+		for _, move := range r.Reassign.Moves {
+			if move.Slot == slot {
+				return move.BaseEpoch, move.To
+			}
+		}
+	}
+	return 0, ""
+}
+
+// checkCovered requires that every running VM has folded all that any VM ever folded.
+func (l *ledger) checkCovered() {
+	for _, name := range l.w.vmNames() {
+		vm := l.w.vms[name]
+		if !vm.alive || vm.table == nil || !vm.table.Ready {
+			continue
+		}
+		if offset := vm.node.Assignments().Offset; offset < l.top {
+			l.w.fatal("%s has folded %d, but %d was folded before", name, offset, l.top)
+		}
+		l.check(vm)
+	}
+}
--- /dev/null
+++ b/internal/proof/service_test.go
@@ -0,0 +1,77 @@
+package proof
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/config"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/record"
+	"github.com/tarragonpoint/tarragonpoint/internal/route"
+)
+
+// serviceLimit is the time after which a target that is out of service gets no new work.
+const serviceLimit = 5 * time.Second
+
+// turnCold makes a target cold without a warning.
+func (t *fakeTarget) turnCold() {
+	t.cold = true
+	t.coldSince = t.world.now
+}
+
+// restartAll restarts every entry VM at once.
+func (w *world) restartAll() {
+	for _, name := range w.vmNames() {
+		w.restartVM(w.vms[name])
+	}
+}
+
+// toggleLeaving changes whether the VM list reports the VM of a target as leaving.
+func (w *world) toggleLeaving(t *fakeTarget) {
+	w.leaving[model.VMID(t.id)] = !w.leaving[model.VMID(t.id)]
+	w.everLeaving[model.VMID(t.id)] = true
+	w.publishVMs()
+}
+
+// racePatches publishes two changes with the same base, as two operators do who do not know of each other.
+func (w *world) racePatches() (first, second model.Tenant) {
+	if !w.log.up {
+		return "", ""
+	}
+	from := w.currentConfig()
+	names := [2]model.Tenant{}
+	for i := range names {
+		names[i] = model.Tenant(fmt.Sprintf("race-%d", len(w.log.history[record.ConfigStream])))
+		to := from.Clone()
+		to.Tenants[names[i]] = config.Tenant{Name: names[i]}
+		patch, err := config.Diff(from, to, "operator")
+		if err != nil {
+			w.fatal("diff: %v", err)
+		}
+		w.append(record.ConfigStream, record.Record{ID: w.newID(), ConfigPatch: &patch})
+	}
+	return names[0], names[1]
+}
+
+// receives reports whether an entry VM may give new work to a target, as its table says.
+func receives(table *route.Table, id model.TargetID) bool {
+	t := table.Targets[id]
+	return t != nil && t.InService && t.Status != nil && t.Status.Serving && !t.Status.Draining
+}
+
+// checkService requires that a VM gives no new work to targets that operators took out, serviceLimit after it folded the
+// change, and that it gives work again to those that they put back.
+func (o *oracle) checkService(vm *entryVM) {
+	if vm.paused || o.w.now-vm.foldedAt < serviceLimit {
+		return
+	}
+	state := vm.node.Config()
+	for id, configured := range state.Targets {
+		out := state.Zones[configured.Zone].OutOfService || configured.Drain
+		in := vm.table.Targets[id] != nil && vm.table.Targets[id].InService
+		leaving := o.w.everLeaving[model.VMID(id)]
+		if out == in && (out || !leaving) {
+			o.w.fatal("%s has target %s in service %v, but operators took it out: %v", vm.name, id, in, out)
+		}
+	}
+}
--- a/internal/proof/target_test.go
+++ b/internal/proof/target_test.go
@@ -27,6 +27,11 @@
 	version  uint64
 	inbox    []func()
 	cold     bool
+	// coldSince is when the target last started or turned cold.
+	coldSince time.Duration
+	draining  bool
+	// unchecked targets obey every lessor and ignore terms and fences.
+	unchecked bool
 	// gone is true once the target's VM is lost. Its ID never comes back.
 	gone bool
 }
@@ -43,6 +48,9 @@
 	t.refused = map[model.Slot]model.Fence{}
 	t.version = 0
 	t.inbox = nil
+	t.draining = false
+	t.coldSince = t.world.now
+	t.world.touched = true
 }
 
 func (t *fakeTarget) clock() model.Instant {
@@ -62,6 +70,7 @@
 
 func (t *fakeTarget) thaw() {
 	t.frozen = false
+	t.world.touched = true
 	calls := t.inbox
 	t.inbox = nil
 	for _, call := range calls {
@@ -70,8 +79,9 @@
 }
 
 func (t *fakeTarget) renew(r target.RenewRequest) target.RenewReply {
-	reply := target.RenewReply{PreviousTerm: t.term, Incarnation: t.incarnation, Clock: t.clock(), Cold: t.cold}
-	if r.Term.Less(t.term) {
+	reply := target.RenewReply{PreviousTerm: t.term, Incarnation: t.incarnation, Clock: t.clock(), Cold: t.cold, Draining: t.draining}
+	t.world.touched = true
+	if r.Term.Less(t.term) && !t.unchecked {
 		reply.Term = t.term
 		reply.GrantsVersion = t.version
 		return reply
@@ -114,7 +124,8 @@
 
 func (t *fakeTarget) revoke(r target.RevokeRequest) target.RevokeReply {
 	reply := target.RevokeReply{Term: t.term, Incarnation: t.incarnation}
-	if r.Term.Less(t.term) {
+	t.world.touched = true
+	if r.Term.Less(t.term) && !t.unchecked {
 		return reply
 	}
 	t.term = r.Term
--- a/internal/proof/world_test.go
+++ b/internal/proof/world_test.go
@@ -41,6 +41,9 @@
 	run     int
 	// gone is true once the VM itself is lost. Its ID never comes back.
 	gone bool
+	// folded is the configuration version in force, since foldedAt.
+	folded   model.Offset
+	foldedAt time.Duration
 }
 
 // fakeLog is the log service.
@@ -50,6 +53,18 @@
 	up      bool
 	// loseAnswers is the number of append answers still to be lost.
 	loseAnswers int
+	// history keeps every accepted record, also those that the log dropped.
+	history map[record.Stream][]record.Entry
+	// times holds when each record of the history was accepted.
+	times map[record.Stream][]time.Duration
+}
+
+// layout describes the size of a world.
+type layout struct {
+	zones, vmsPerZone, targetsPerZone int
+	// home adds a tenant with one home region for each region.
+	home    bool
+	fencing route.Fencing
 }
 
 type world struct {
@@ -65,9 +80,22 @@
 	minted   uint64
 	// lostTargets counts the targets whose VMs were lost for good.
 	lostTargets int
+	layout      layout
+	// classes are the placement classes in use.
+	classes []model.Class
+	// leaving holds the VMs that the VM list reports as leaving.
+	leaving map[model.VMID]bool
+	// everLeaving holds the VMs that the VM list ever reported as leaving.
+	everLeaving map[model.VMID]bool
+	// touched is true if a target may have begun to serve a key since the last check of owners.
+	touched bool
 }
 
 func newWorld(seed int64, zones, vmsPerZone, targetsPerZone int, fatal func(string, ...any)) *world {
+	return newWorldOf(seed, layout{zones: zones, vmsPerZone: vmsPerZone, targetsPerZone: targetsPerZone, fencing: route.FencingChecked}, fatal)
+}
+
+func newWorldOf(seed int64, size layout, fatal func(string, ...any)) *world {
 	s := &scheduler{random: rand.New(rand.NewSource(seed))}
 	w := &world{
 		network: network{scheduler: s, cut: map[[2]string]bool{}, slow: map[string]time.Duration{}},
@@ -76,16 +104,25 @@
 		regions: map[model.Zone]model.Region{},
 		listLag: 2 * time.Second,
 		fatal:   fatal,
+		layout:  size,
+		classes: []model.Class{model.AnyRegion},
+		leaving: map[model.VMID]bool{}, everLeaving: map[model.VMID]bool{},
+	}
+	w.log = fakeLog{
+		streams: map[record.Stream][]record.Entry{}, oldest: map[record.Stream]model.Offset{}, up: true,
+		history: map[record.Stream][]record.Entry{}, times: map[record.Stream][]time.Duration{},
 	}
-	w.log = fakeLog{streams: map[record.Stream][]record.Entry{}, oldest: map[record.Stream]model.Offset{}, up: true}
 	w.settings.retention = time.Minute
 	state := config.Empty()
 	state.Services[testService] = config.Service{
-		Name: testService, Keyed: true, Slots: slotsPerCell, Fencing: route.FencingChecked,
+		Name: testService, Keyed: true, Slots: slotsPerCell, Fencing: size.fencing,
 		Concurrency: 4, ColdStart: time.Second, ColdInitial: 1, Timeout: 5 * time.Second,
 	}
-	for z := range zones {
-		w.addZone(&state, z, vmsPerZone, targetsPerZone)
+	for z := range size.zones {
+		w.addZone(&state, z, size.vmsPerZone, size.targetsPerZone)
+	}
+	if size.home {
+		w.addHomeTenants(&state)
 	}
 	patch, err := config.Diff(config.Empty(), state, "test")
 	if err != nil {
@@ -114,12 +151,29 @@
 		id := model.TargetID(fmt.Sprintf("target-%c%d", 'a'+z, i))
 		address := fmt.Sprintf("127.0.0.1:%d", 20000+100*z+i)
 		state.Targets[id] = config.Target{ID: id, Service: testService, Zone: zone, VM: model.VMID(id), Address: targetAddress(address)}
-		t := &fakeTarget{world: w, id: id, zone: string(zone), rate: 0.995 + 0.01*w.random.Float64()}
+		t := &fakeTarget{world: w, id: id, zone: string(zone), unchecked: w.layout.fencing == route.FencingUnchecked, rate: 0.995 + 0.01*w.random.Float64()}
 		t.start()
 		w.targets[id] = t
 	}
 }
 
+// addHomeTenants adds a tenant at home in each region, and with it a placement class.
+func (w *world) addHomeTenants(state *config.State) {
+	names := make([]string, 0, len(state.Regions))
+	for region := range state.Regions {
+		names = append(names, string(region))
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		tenant := model.Tenant("tenant-" + name)
+		state.Tenants[tenant] = config.Tenant{Name: tenant, HomeRegions: []model.Region{model.Region(name)}}
+		w.classes = append(w.classes, model.Class(name))
+	}
+}
+
+// slotCount returns the number of hash slots of all classes.
+func (w *world) slotCount() int { return slotsPerCell * len(w.classes) }
+
 func (w *world) newID() record.ID {
 	w.minted++
 	return record.ID(uuid.NewSHA1(uuid.Nil, fmt.Appendf(nil, "%d", w.minted)))
@@ -150,6 +204,7 @@
 	vm.started = w.now
 	vm.backlog = nil
 	vm.table = nil
+	vm.folded, vm.foldedAt = 0, w.now
 	vm.node = control.NewNode(control.Settings{
 		VM: model.VMID(vm.name), Zone: vm.zone, Region: w.regions[vm.zone],
 		Incarnation: model.Incarnation(w.now/time.Millisecond) + 1,
@@ -198,6 +253,9 @@
 	for _, effect := range vm.node.Step(instant, e) {
 		w.carryOut(vm, effect)
 	}
+	if version := vm.node.Config().Version; version != vm.folded {
+		vm.folded, vm.foldedAt = version, w.now
+	}
 }
 
 // resume ends a pause: the process handles what waited in its socket buffers.
@@ -260,7 +318,10 @@
 
 func (w *world) append(stream record.Stream, r record.Record) {
 	offset := w.log.oldest[stream] + model.Offset(len(w.log.streams[stream])) + 1
-	w.log.streams[stream] = append(w.log.streams[stream], record.Entry{Offset: offset, Record: r})
+	entry := record.Entry{Offset: offset, Record: r}
+	w.log.streams[stream] = append(w.log.streams[stream], entry)
+	w.log.history[stream] = append(w.log.history[stream], entry)
+	w.log.times[stream] = append(w.log.times[stream], w.now)
 }
 
 func (w *world) carrySend(vm *entryVM, e control.Send) {
@@ -384,7 +445,11 @@
 	}
 	for _, id := range w.targetIDs() {
 		if t := w.targets[id]; !t.gone {
-			list.VMs = append(list.VMs, platform.VM{ID: model.VMID(id), Zone: model.Zone(t.zone), State: platform.VMLive})
+			listed := platform.VM{ID: model.VMID(id), Zone: model.Zone(t.zone), State: platform.VMLive}
+			if w.leaving[listed.ID] {
+				listed.State = platform.VMLeaving
+			}
+			list.VMs = append(list.VMs, listed)
 		}
 	}
 	if w.now == 0 {
@@ -425,22 +490,40 @@
 	return nil
 }
 
-// checkOwners fails if two targets would run a request for the same key now.
+// checkOwners fails if two targets would run a request for the same key now. Without a renewal, a revocation, a thaw or a
+// start, targets can only stop serving, so nothing needs to be checked again.
 func (w *world) checkOwners() {
-	for index := range uint32(slotsPerCell) {
-		parent := model.Slot{Service: testService, Class: model.AnyRegion, Index: index}
-		for _, hash := range []uint64{1, hotHash(index)} {
-			var serving []model.TargetID
-			for _, id := range w.targetIDs() {
-				if w.targets[id].serves(parent, hash) {
-					serving = append(serving, id)
-				}
-			}
-			if len(serving) > 1 {
-				w.fatal("at %v slot %v hash %d has owners %v\n%s", w.now, parent, hash, serving, w.describe())
+	if !w.touched {
+		return
+	}
+	w.touched = false
+	for _, class := range w.classes {
+		for index := range uint32(slotsPerCell) {
+			parent := model.Slot{Service: testService, Class: class, Index: index}
+			w.checkOwner(parent, 1)
+			w.checkOwner(parent, hotHash(index))
+		}
+	}
+}
+
+func (w *world) checkOwner(parent model.Slot, hash uint64) {
+	var serving []model.TargetID
+	for id, t := range w.targets {
+		if t.serves(parent, hash) {
+			serving = append(serving, id)
+			if !w.allowed(parent.Class, t) {
+				w.fatal("at %v slot %v is served by %s outside its region", w.now, parent, id)
 			}
 		}
 	}
+	if len(serving) > 1 {
+		w.fatal("at %v slot %v hash %d has owners %v\n%s", w.now, parent, hash, serving, w.describe())
+	}
+}
+
+// allowed reports whether a target is in the region of a class. All classes of the world name one region or "any".
+func (w *world) allowed(class model.Class, t *fakeTarget) bool {
+	return class == model.AnyRegion || string(class) == string(w.regions[model.Zone(t.zone)])
 }
 
 func hotHash(index uint32) uint64 { return uint64(1000*slotsPerCell) + uint64(index) }
@@ -448,10 +531,12 @@
 // served returns how many slots have a serving owner.
 func (w *world) served() int {
 	count := 0
-	for index := range uint32(slotsPerCell) {
-		for _, id := range w.targetIDs() {
-			if w.targets[id].serves(model.Slot{Service: testService, Class: model.AnyRegion, Index: index}, 1) {
-				count++
+	for _, class := range w.classes {
+		for index := range uint32(slotsPerCell) {
+			for _, t := range w.targets {
+				if t.serves(model.Slot{Service: testService, Class: class, Index: index}, 1) {
+					count++
+				}
 			}
 		}
 	}
