--- a/internal/control/records.go
+++ b/internal/control/records.go
@@ -61,6 +61,9 @@
 	before := s.fold.Offset()
 	for _, entry := range s.take(entries) {
 		n.outbox.settle(entry.Record.ID)
+		if s.synced && entry.Record.Snapshot != nil {
+			n.snapshotAt[s.name] = n.now
+		}
 		if s.name == record.AssignStream {
 			n.onAssign(entry, n.assign.takeVerdict(entry.Offset))
 		}
@@ -160,25 +163,26 @@
 	}
 }
 
-// snapshot appends a snapshot of each stream when half of the retention has passed since the last one.
+// snapshot appends a snapshot of each stream when half of the retention has passed since the last one. A process that has
+// not seen one being appended cannot know its age and takes a new one: the records would expire if each planner waited
+// from its own start.
 func (n *Node) snapshot() {
 	if n.settings.Retention <= 0 || !n.isPlanner() {
 		return
 	}
 	for _, name := range []record.Stream{record.AssignStream, record.ConfigStream} {
 		s := n.streams[name]
-		if n.snapshotAt[name] == 0 {
-			n.snapshotAt[name] = n.now
-		}
-		if !s.synced || s.fold.Offset() == 0 || n.now.Sub(n.snapshotAt[name]) < n.settings.Retention/2 {
+		taken, known := n.snapshotAt[name]
+		recent := known && n.now.Sub(taken) < n.settings.Retention/2
+		if recent || !s.synced || s.fold.Offset() == 0 {
 			continue
 		}
-		taken, err := s.fold.Snapshot()
+		state, err := s.fold.Snapshot()
 		if err != nil {
 			continue
 		}
 		never := func() bool { return false }
-		if n.submit(name, "snapshot "+string(name), record.Record{Snapshot: &taken}, never) {
+		if n.submit(name, "snapshot "+string(name), record.Record{Snapshot: &state}, never) {
 			n.snapshotAt[name] = n.now
 		}
 	}
