--- a/internal/proof/control_fuzz_test.go
+++ b/internal/proof/control_fuzz_test.go
@@ -89,6 +89,7 @@
 // TestControlUnderFaults drives several entry VMs through random faults. It guards against two owners of a key,
 // configuration that reverts, states that differ at the same offset, and a system that does not recover.
 func TestControlUnderFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		w, o := faultyWorld(t, layout{zones: 2, vmsPerZone: 3, targetsPerZone: 3, fencing: route.FencingChecked})
 		w.checkRecovery(o)
@@ -97,6 +98,7 @@
 
 // TestTwoRegionsUnderFaults adds tenants with home regions. It guards against slots of a class that leave its region.
 func TestTwoRegionsUnderFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		w, o := faultyWorld(t, layout{zones: 4, vmsPerZone: 2, targetsPerZone: 2, home: true, fencing: route.FencingChecked})
 		w.checkRecovery(o)
--- a/internal/proof/network_test.go
+++ b/internal/proof/network_test.go
@@ -60,6 +60,8 @@
 	cut       map[[2]string]bool
 	dropOneIn int
 	slow      map[string]time.Duration
+	// onTime keeps messages from being late.
+	onTime bool
 }
 
 const (
@@ -72,7 +74,7 @@
 
 func (n *network) latency() time.Duration {
 	latency := minLatency + time.Duration(n.random.Int63n(int64(maxLatency-minLatency)))
-	if n.random.Intn(lateOneIn) == 0 {
+	if !n.onTime && n.random.Intn(lateOneIn) == 0 {
 		latency += time.Duration(n.random.Int63n(int64(maxLate)))
 	}
 	return latency
--- /dev/null
+++ b/internal/proof/out_test.go
@@ -0,0 +1,153 @@
+package proof
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/config"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/record"
+	"github.com/tarragonpoint/tarragonpoint/internal/route"
+)
+
+// outWorld has two regions of two zones each, so that every class may leave a zone.
+func outWorld(seed int64, fatal func(string, ...any)) *world {
+	w := newWorldOf(seed, layout{zones: 4, vmsPerZone: 2, targetsPerZone: 3, home: true, fencing: route.FencingChecked}, fatal)
+	w.runFor(15*time.Second, w.checkOwners)
+	return w
+}
+
+// owned returns how many slots a target owns as every ready entry VM agrees.
+func (w *world) owned(t *testing.T, id model.TargetID) int {
+	count := -1
+	for _, name := range w.vmNames() {
+		owned := w.vms[name].node.Assignments().OwnedCount(id)
+		require.True(t, count < 0 || count == owned, "%s counts %d slots of %s, others %d", name, owned, id, count)
+		count = owned
+	}
+	return count
+}
+
+// requireReceives requires that every entry VM gives a target new work, or that none does.
+func (w *world) requireReceives(t *testing.T, id model.TargetID, want bool, when string) {
+	for _, name := range w.vmNames() {
+		require.Equal(t, want, receives(w.vms[name].table, id), "%s: %s gives work to %s", when, name, id)
+	}
+}
+
+// TestZoneOutAndBack guards against targets of a zone out of service that keep their slots or get work, and against a zone
+// that stays out after its return.
+func TestZoneOutAndBack(t *testing.T) {
+	t.Parallel()
+	for seed := range int64(4) {
+		w := outWorld(seed, t.Fatalf)
+		letter := w.zoneLetters()[seed]
+		zone := model.Zone("zone-" + letter)
+		w.setZone(zone, true)
+		w.runFor(logPollEvery*3, w.checkOwners)
+		w.runFor(serviceLimit, w.checkOwners)
+		for i := range 3 {
+			id := model.TargetID(fmt.Sprintf("target-%s%d", letter, i))
+			w.requireReceives(t, id, false, "zone out")
+			require.Zero(t, w.owned(t, id), "seed %d: %s keeps slots", seed, id)
+		}
+		require.Equal(t, w.slotCount(), w.served(), "seed %d: all slots are served elsewhere", seed)
+		w.setZone(zone, false)
+		w.runFor(configLimit, w.checkOwners)
+		for i := range 3 {
+			w.requireReceives(t, model.TargetID(fmt.Sprintf("target-%s%d", letter, i)), true, "zone back")
+		}
+	}
+}
+
+func (w *world) setZone(zone model.Zone, out bool) {
+	w.publishConfig(func(s *config.State) {
+		changed := s.Zones[zone]
+		changed.OutOfService = out
+		s.Zones[zone] = changed
+	})
+}
+
+// TestLeavingTarget guards against a leaving target that gets new work or keeps slots, for each way to say that it leaves.
+func TestLeavingTarget(t *testing.T) {
+	t.Parallel()
+	causes := map[string]func(w *world, id model.TargetID){
+		"vm list": func(w *world, id model.TargetID) { w.listLag = 0; w.toggleLeaving(w.targets[id]) },
+		"config": func(w *world, id model.TargetID) {
+			w.publishConfig(func(s *config.State) {
+				changed := s.Targets[id]
+				changed.Drain = true
+				s.Targets[id] = changed
+			})
+		},
+		"target": func(w *world, id model.TargetID) { w.targets[id].draining = true },
+	}
+	for name, leave := range causes {
+		for seed := range int64(3) {
+			w := outWorld(seed, t.Fatalf)
+			id := w.targetIDs()[w.random.Intn(len(w.targets))]
+			leave(w, id)
+			w.runFor(vmPollEvery+coldNotice, w.checkOwners)
+			w.runFor(serviceLimit, w.checkOwners)
+			w.requireReceives(t, id, false, name)
+			require.Zero(t, w.owned(t, id), "seed %d, %s: %s keeps slots", seed, name, id)
+		}
+	}
+}
+
+// TestRacingOperators guards against two changes with the same base that both take effect, or neither, and against an
+// entry VM that does not learn of a change although a peer has it.
+func TestRacingOperators(t *testing.T) {
+	t.Parallel()
+	for seed := range int64(4) {
+		w := outWorld(seed, t.Fatalf)
+		for _, name := range w.vmNames()[:2] {
+			w.cut[[2]string{name, "log"}] = true
+			w.cut[[2]string{"log", name}] = true
+		}
+		first, second := w.racePatches()
+		w.runFor(configLimit, w.checkOwners)
+		for _, name := range w.vmNames() {
+			tenants := w.vms[name].table.Tenants
+			require.NotNil(t, tenants[first], "%s lacks the first change", name)
+			require.Nil(t, tenants[second], "%s has the second change", name)
+			require.Equal(t, w.currentConfig().Version, w.vms[name].table.ConfigVersion, name)
+		}
+	}
+}
+
+// expireOld drops records older than the retention, as a log does that knows nothing of snapshots.
+func (w *world) expireOld(stream record.Stream) {
+	times := w.log.times[stream]
+	for len(w.log.streams[stream]) > 0 && w.now-times[w.log.oldest[stream]] >= w.settings.retention {
+		w.log.streams[stream] = w.log.streams[stream][1:]
+		w.log.oldest[stream]++
+	}
+}
+
+// TestRetention guards against assignments and configuration that expire because no snapshot covers them in time, when all
+// entry VMs restart at once.
+func TestRetention(t *testing.T) {
+	t.Parallel()
+	for _, between := range []time.Duration{150 * time.Second, 70 * time.Second, 20 * time.Second} {
+		w := newWorld(1, 2, 2, 3, t.Fatalf)
+		o := newOracle(w)
+		for next := between; w.now < 5*time.Minute; {
+			w.runFor(time.Second, w.checkOwners)
+			w.expireOld(record.AssignStream)
+			w.expireOld(record.ConfigStream)
+			o.checkStates()
+			if w.now >= next {
+				next += between
+				w.restartAll()
+				w.runFor(worldStart, w.checkOwners)
+				w.awaitServed(o, w.now, settleLimit, fmt.Sprintf("after all restarted, every %v", between))
+				o.checkStates()
+				o.ledger.checkCovered()
+			}
+		}
+	}
+}
--- a/internal/proof/smoke_test.go
+++ b/internal/proof/smoke_test.go
@@ -13,6 +13,7 @@
 
 // TestOwnersAppearAndMove guards against a control loop that never assigns slots, or never moves them after a loss.
 func TestOwnersAppearAndMove(t *testing.T) {
+	t.Parallel()
 	w := newWorld(1, 2, 2, 3, t.Fatalf)
 	w.runFor(6*time.Second, w.checkOwners)
 	require.Equal(t, slotsPerCell, w.served(), "all slots are served after the start")
