Let a lessor's status carry the term that it sent to the target

Cause: right after a start, when nobody has heard anyone yet, a VM may intend to act under a higher rank, publish a status with that term, and give way before it sends the renewal. The target keeps the lower term, so all later statuses of its real lessor were dropped as older until the cell's epoch changed. The planner then saw no serving target, and neither moves nor takeovers found a destination. The trace showed all stop statements in 1.55 s after the loss, no Reassign, and the planner's statuses at 50.3, 49.4 and 'not serving' while the targets were at 50.2 and 49.2 and held leases. Ruled out: late messages, the takeover evidence, the outbox. Now the status carries the highest term sent to the target, and a status that was not renewed for 6 s is replaced by any other.

--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -37,11 +37,13 @@
 	return &status
 }
 
-// onStatusUpdate takes statuses from their lessor. Older terms and sequences are dropped.
+// onStatusUpdate takes statuses from their lessor. Older terms and sequences are dropped, unless the known status was not
+// renewed for statusLife: its sender may be lost and its term may never have reached the target.
 func (n *Node) onStatusUpdate(update message.StatusUpdate) {
 	for _, received := range update.Statuses {
 		known, ok := n.statuses[received.Target]
-		if ok && !supersedes(received.Status, known.status) {
+		current := ok && n.now.Sub(known.receivedAt) < statusLife
+		if current && !supersedes(received.Status, known.status) {
 			continue
 		}
 		if !ok || !sameCondition(known.status, received.Status) {
@@ -91,7 +93,8 @@
 	}
 }
 
-// ownStatus returns the status of a target for which this VM acts.
+// ownStatus returns the status of a target for which this VM acts. Its term is the highest one sent to the target: with a
+// term that this VM only intends to use, the status would hide those of the lessor that the target obeys.
 func (n *Node) ownStatus(state *targetState) route.Status {
 	n.sequence++
 	reply := state.keeper.Reply()
@@ -100,7 +103,7 @@
 	return route.Status{
 		Incarnation: reply.Incarnation,
 		Sequence:    n.sequence,
-		Term:        state.term,
+		Term:        state.keeper.Claimed(),
 		Serving:     holding && state.keeper.AnsweredWithin(n.now, lease.Duration) && !state.silent,
 		Cold:        state.ramp.cold,
 		Draining:    reply.Draining,
