--- a/internal/proof/main_test.go
+++ b/internal/proof/main_test.go
@@ -11,8 +11,10 @@
 // Defaults of the stateful fuzz. With a fixed seed CI reaches the same verdict every time.
 const (
 	defaultChecks = "16"
-	defaultSteps  = "40"
-	defaultSeed   = "1"
+	// shortChecks is for the race detector, under which a check takes about ten times as long.
+	shortChecks  = "2"
+	defaultSteps = "40"
+	defaultSeed  = "1"
 )
 
 // faultSteps counts the steps of the stateful fuzz, so that a long run can tell its size.
@@ -28,6 +30,9 @@
 		"rapid.steps":  defaultSteps,
 		"rapid.seed":   defaultSeed,
 	}
+	if testing.Short() {
+		defaults["rapid.checks"] = shortChecks
+	}
 	for name, value := range defaults {
 		if set[name] {
 			continue
--- a/internal/proof/unchecked_test.go
+++ b/internal/proof/unchecked_test.go
@@ -26,11 +26,20 @@
 				w.fatal("at %v both %s and %s send to %s\n%s", w.now, name, other, id, w.describe())
 			}
 			lessors[id] = name
+			w.checkDeadline(vm, id, lease)
 			w.checkKeys(vm, id, lease, keys)
 		}
 	}
 }
 
+// checkDeadline requires that a lease that a sender holds for valid is still valid on the target's clock.
+func (w *world) checkDeadline(vm *entryVM, id model.TargetID, lease route.Lease) {
+	t := w.targets[id]
+	if t.alive && t.incarnation == lease.Incarnation && t.clock() >= lease.ValidUntil {
+		w.fatal("at %v %s holds the lease of %s for valid, which ended at %v, now %v", w.now, vm.name, id, lease.ValidUntil, t.clock())
+	}
+}
+
 // checkKeys adds the slots for which a lessor would send requests.
 func (w *world) checkKeys(vm *entryVM, id model.TargetID, lease route.Lease, keys map[model.Slot]model.TargetID) {
 	for slot, held := range lease.Slots {
