--- a/cmd/standin/target.go
+++ b/cmd/standin/target.go
@@ -35,9 +35,18 @@
 	flags.IntVar(&options.ColdInitial, "cold-initial", 1, "requests that a target bears when it has just started")
 	flags.DurationVar(&options.LoadLag, "load-lag", time.Second, "lag of the reported load")
 	flags.DurationVar(&options.DrainGrace, "drain-grace", 0, "time for which a draining target takes requests")
+	journal := flags.String("journal", "", "file to which runs are appended, one JSON line for each start and end")
 	flags.BoolVar(&options.Unchecked, "unchecked", false, "ignore fences, terms and leases")
 	return command("target", flags, func(ctx context.Context) error {
 		options.ID = model.TargetID(*id)
+		if *journal != "" {
+			file, err := standin.OpenJournal(*journal)
+			if err != nil {
+				return err
+			}
+			defer func() { _ = file.Close() }()
+			options.Journal = file.Write
+		}
 		entry := platform.VM{ID: model.VMID(*vm), Zone: model.Zone(*zone), State: platform.VMLive}
 		return serve(ctx, *listen, standin.NewTarget(options), func(string) error {
 			if *vm == "" || *vmList == "" {
--- a/internal/standin/run.go
+++ b/internal/standin/run.go
@@ -159,6 +159,7 @@
 		Outcome:     RunOpen,
 	}
 	t.runs = append(t.runs, current.run)
+	t.journal(current.run)
 	close(current.started)
 }
 
@@ -238,7 +239,17 @@
 	}
 }
 
-func (t *Target) finish(run *Run, outcome Outcome) { run.End, run.Outcome = t.now(), outcome }
+func (t *Target) finish(run *Run, outcome Outcome) {
+	run.End, run.Outcome = t.now(), outcome
+	t.journal(run)
+}
+
+// journal passes a run on. The mutex is held, so that a run is in the journal before its answer is sent.
+func (t *Target) journal(run *Run) {
+	if t.options.Journal != nil {
+		t.options.Journal(*run)
+	}
+}
 
 func (t *Target) cancel(w http.ResponseWriter, r *http.Request) {
 	var request target.CancelRequest
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -31,6 +31,9 @@
 	Unchecked bool
 	// Now replaces the monotonic clock in tests.
 	Now func() model.Instant
+	// Journal is called with a copy of a run when it starts and when it ends, so that the record of runs outlives the
+	// process. It must not call the target.
+	Journal func(run Run)
 	// OnCrash is called after the state was reset, for instance to close connections or to exit.
 	OnCrash func()
 }
