Add a test hook that cuts an entry VM off from peers

Process tests need a cut between zones. A relay between peers was ruled out: entry VMs advertise the address on which they listen, so peers that learn it from the log bypass the relay. The hook uses the Filter of peer.WebSocket and is installed only if TARRAGONPOINT_TEST_CUT_FILE is set; it can only lose messages.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -100,6 +100,7 @@
 		post:      e.loop.post,
 	}
 	adapters.peer.SetHandler(e.onPeerMessage)
+	installTestCut(adapters.peer, e.log)
 	provider := &host{settings: configured, log: log, metrics: e.metrics, front: e.frontSettings(log)}
 	return e, adapters.set.Provision(provider)
 }
