Add the process testbed, process tests and the demo

The testbed runs the real programs on loopback ports and compares callers' answers with the targets' journals.

The tests wait for a settled placement: the first one uses the targets that are up first and is then rebalanced, and a log outage during those moves leaves the moving slots unserved.

--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,11 @@
 	$(GO) build -o bin/tarragonpoint ./cmd/tarragonpoint
 	$(GO) build -o bin/standin ./cmd/standin
 
+# Runs both example deployments on this machine for under 90 s and ends by itself.
+demo: build
+	$(GO) build -o bin/demo ./cmd/demo
+	bin/demo
+
 test:
 	$(GO) test ./...
 
--- /dev/null
+++ b/internal/testbed/balancer.go
@@ -0,0 +1,87 @@
+package testbed
+
+import (
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// healthInterval is the time between two checks of an entry VM. It is far shorter than the time for which a stopping VM
+	// still takes requests.
+	healthInterval = 200 * time.Millisecond
+	healthTimeout  = 300 * time.Millisecond
+)
+
+// balancer stands for the platform's load balancer: it knows which entry VMs say that they are ready.
+type balancer struct {
+	entries func() []*Entry
+	client  *http.Client
+	mutex   sync.Mutex
+	healthy []*Entry
+	stop    chan struct{}
+	stopped sync.WaitGroup
+	once    sync.Once
+}
+
+func newBalancer(entries func() []*Entry) *balancer {
+	b := &balancer{entries: entries, stop: make(chan struct{}),
+		client: &http.Client{Timeout: healthTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
+	b.stopped.Add(1)
+	go b.run()
+	return b
+}
+
+func (b *balancer) run() {
+	defer b.stopped.Done()
+	ticker := time.NewTicker(healthInterval)
+	defer ticker.Stop()
+	for {
+		b.check()
+		select {
+		case <-b.stop:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// check asks all entry VMs at once.
+func (b *balancer) check() {
+	entries := b.entries()
+	healthy := make([]bool, len(entries))
+	var asked sync.WaitGroup
+	for i, e := range entries {
+		asked.Add(1)
+		go func() {
+			defer asked.Done()
+			response, err := b.client.Get("http://" + e.Callers + "/readyz")
+			if err != nil {
+				return
+			}
+			_ = response.Body.Close()
+			healthy[i] = response.StatusCode == http.StatusOK
+		}()
+	}
+	asked.Wait()
+	var ready []*Entry
+	for i, e := range entries {
+		if healthy[i] {
+			ready = append(ready, e)
+		}
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.healthy = ready
+}
+
+func (b *balancer) ready() []*Entry {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.healthy
+}
+
+func (b *balancer) close() {
+	b.once.Do(func() { close(b.stop) })
+	b.stopped.Wait()
+}
--- /dev/null
+++ b/internal/testbed/control.go
@@ -0,0 +1,150 @@
+package testbed
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os"
+	"time"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/entry"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/standin"
+)
+
+// controlTimeout bounds one call to a stand-in or to an admin endpoint.
+const controlTimeout = 5 * time.Second
+
+// settledTime is the time without a move after which a placement counts as settled. It exceeds the time of a move.
+const settledTime = 1500 * time.Millisecond
+
+// SetLog sets a fault of the log service: down, up, slow, or answers that are lost after the write.
+func (c *Cluster) SetLog(ctx context.Context, fault standin.LogFault) error {
+	return c.post(ctx, c.LogURL+"/control", fault)
+}
+
+// LogTotals returns the counters of the log service.
+func (c *Cluster) LogTotals(ctx context.Context) (standin.LogTotals, error) {
+	var totals standin.LogTotals
+	return totals, c.get(ctx, c.LogURL+"/control/totals", &totals)
+}
+
+// ChangeVMList changes the VM list.
+func (c *Cluster) ChangeVMList(ctx context.Context, change standin.VMListChange) error {
+	return c.post(ctx, c.listURL+"/control", change)
+}
+
+// ControlTarget freezes, stalls, cools or drains a target.
+func (c *Cluster) ControlTarget(ctx context.Context, id model.TargetID, change standin.TargetControl) error {
+	return c.post(ctx, "http://"+string(c.Targets[id].Inventory.Address)+"/control", change)
+}
+
+// Cut separates the entry VMs of a zone from all others and from the log, or joins them again. Targets stay reachable from
+// everywhere.
+func (c *Cluster) Cut(zone model.Zone, on bool) error {
+	c.zoneLogs[zone].SetSilent(on)
+	entries := c.Entries()
+	for _, from := range entries {
+		var lost bytes.Buffer
+		for _, to := range entries {
+			if on && (from.Zone == zone) != (to.Zone == zone) {
+				fmt.Fprintln(&lost, to.VM)
+			}
+		}
+		if err := os.WriteFile(from.cutFile, lost.Bytes(), fileMode); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Owner asks an entry VM for the owner of a key.
+func (c *Cluster) Owner(ctx context.Context, e *Entry, service model.Service, tenant model.Tenant, key string) (entry.OwnerAnswer, error) {
+	query := url.Values{"service": {string(service)}, "key": {key}, "tenant": {string(tenant)}}
+	var answer entry.OwnerAnswer
+	return answer, c.get(ctx, "http://"+e.Admin+"/admin/owner?"+query.Encode(), &answer)
+}
+
+// Status asks an entry VM for its status.
+func (c *Cluster) Status(ctx context.Context, e *Entry) (entry.StatusAnswer, error) {
+	var answer entry.StatusAnswer
+	return answer, c.get(ctx, "http://"+e.Admin+"/admin/status", &answer)
+}
+
+// AwaitPlacement waits until every target of a keyed service owns a slot and no slot has moved for settledTime. The first
+// placement uses the targets that are up first, and then moves slots to the others.
+func (c *Cluster) AwaitPlacement(ctx context.Context, limit time.Duration) error {
+	var offset model.Offset
+	since := time.Now()
+	return Await(ctx, limit, "a settled placement", func() bool {
+		status, err := c.Status(ctx, c.Entries()[0])
+		if err != nil || status.AssignOffset != offset || !c.isPlaced(status) {
+			offset, since = status.AssignOffset, time.Now()
+		}
+		return time.Since(since) > settledTime
+	})
+}
+
+func (c *Cluster) isPlaced(status entry.StatusAnswer) bool {
+	for _, known := range status.Targets {
+		if known.Slots == 0 && c.State.Services[known.Service].Keyed {
+			return false
+		}
+	}
+	return true
+}
+
+// Lessor returns the entry VM that renews the lease of a target, or nil.
+func (c *Cluster) Lessor(ctx context.Context, id model.TargetID) *Entry {
+	for _, e := range c.Entries() {
+		status, err := c.Status(ctx, e)
+		if err != nil {
+			continue
+		}
+		for _, known := range status.Targets {
+			if known.ID == id && known.LeaseHeldHere {
+				return e
+			}
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) post(ctx context.Context, address string, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, address, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	return c.call(request, nil)
+}
+
+func (c *Cluster) get(ctx context.Context, address string, into any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return err
+	}
+	return c.call(request, into)
+}
+
+// call sends a control call and decodes the answer unless into is nil.
+func (c *Cluster) call(request *http.Request, into any) error {
+	response, err := c.client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: status %d", request.URL.Path, response.StatusCode)
+	}
+	if into == nil {
+		return nil
+	}
+	return json.NewDecoder(response.Body).Decode(into)
+}
--- /dev/null
+++ b/internal/testbed/entry.go
@@ -0,0 +1,120 @@
+package testbed
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/platform"
+	"github.com/tarragonpoint/tarragonpoint/internal/standin"
+)
+
+const (
+	entryPrefix = "entry-"
+	// peerKeys is the shared key of all entry VMs of a testbed.
+	peerKeys = "TARRAGONPOINT_PEER_KEYS=testbed-key-of-thirty-two-bytes!"
+	// cutVariable names the file with the peers that an entry VM cannot reach; see package entry.
+	cutVariable = "TARRAGONPOINT_TEST_CUT_FILE"
+	// drainTime is the drain time of entry VMs.
+	drainTime = 15 * time.Second
+)
+
+// Entry is one entry VM.
+type Entry struct {
+	*Process
+	VM   model.VMID
+	Zone model.Zone
+	// Callers, Admin and Peers are its addresses.
+	Callers, Admin, Peers string
+	command               command
+	cutFile               string
+}
+
+func (c *Cluster) startEntries(ctx context.Context) error {
+	for i := range c.options.Entries {
+		zone := c.Zones[i%len(c.Zones)]
+		if _, err := c.AddEntry(ctx, model.VMID(fmt.Sprintf("%s%s-%d", entryPrefix, zone, i/len(c.Zones)+1)), zone); err != nil {
+			return err
+		}
+	}
+	for _, started := range c.Entries() {
+		if err := awaitListening(ctx, started.Process, started.Admin); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// AddEntry starts an entry VM and adds it to the VM list. It does not wait until the VM is ready.
+func (c *Cluster) AddEntry(ctx context.Context, vm model.VMID, zone model.Zone) (*Entry, error) {
+	e := &Entry{VM: vm, Zone: zone, cutFile: filepath.Join(c.options.Dir, string(vm)+".cut")}
+	for _, address := range []*string{&e.Callers, &e.Admin, &e.Peers} {
+		free, err := addresses.free()
+		if err != nil {
+			return nil, err
+		}
+		*address = free
+	}
+	listed := platform.VM{ID: vm, Zone: zone, State: platform.VMLive, PeerAddress: e.Peers}
+	if err := c.ChangeVMList(ctx, standin.VMListChange{Set: []platform.VM{listed}}); err != nil {
+		return nil, err
+	}
+	var seeds []string
+	for _, other := range c.Entries() {
+		seeds = append(seeds, string(other.VM)+"="+other.Peers)
+	}
+	e.command = command{name: string(vm), path: c.options.Programs.Router, variables: []string{peerKeys, cutVariable + "=" + e.cutFile},
+		args: []string{"entry", "-vm-id", string(vm), "-zone", string(zone), "-region", string(c.State.RegionOf(zone)),
+			"-listen-callers", e.Callers, "-listen-admin", e.Admin, "-listen-peers", e.Peers, "-peers", strings.Join(seeds, ","),
+			"-platform-log-url", "http://" + c.zoneLogs[zone].Address, "-platform-vmlist-url", c.listURL,
+			"-drain-time", drainTime.String()}}
+	p, err := c.run(e.command)
+	if err != nil {
+		return nil, err
+	}
+	e.Process = p
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.entries = append(c.entries, e)
+	return e, nil
+}
+
+// RestartEntry starts an entry VM again that has ended, with empty memory and at the same addresses.
+func (c *Cluster) RestartEntry(e *Entry) error {
+	p, err := c.run(e.command)
+	if err != nil {
+		return err
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	e.Process = p
+	return nil
+}
+
+// RemoveEntry takes an entry VM that has ended out of the VM list and of the cluster.
+func (c *Cluster) RemoveEntry(ctx context.Context, e *Entry) error {
+	c.mutex.Lock()
+	c.entries = slices.DeleteFunc(c.entries, func(other *Entry) bool { return other == e })
+	c.mutex.Unlock()
+	return c.ChangeVMList(ctx, standin.VMListChange{Gone: []model.VMID{e.VM}})
+}
+
+// StopEntries stops all entry VMs gracefully, all at once.
+func (c *Cluster) StopEntries(limit time.Duration) error {
+	entries := c.Entries()
+	errs := make(chan error, len(entries))
+	for _, e := range entries {
+		go func() { errs <- e.Stop(limit) }()
+	}
+	var first error
+	for range entries {
+		if err := <-errs; err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
--- /dev/null
+++ b/internal/testbed/load.go
@@ -0,0 +1,103 @@
+package testbed
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/result"
+)
+
+const (
+	// maxWorkers is the number of callers that send at a time.
+	maxWorkers = 8
+	// workerPause is the time between two requests of a worker. It bounds the load to a few hundred requests a second.
+	workerPause = 15 * time.Millisecond
+	// loadDeadline keeps workers from waiting for a paused process for the whole length of a fault.
+	loadDeadline = time.Second
+	// loadKeys is the number of keys in use.
+	loadKeys = 40
+	// repeats is how often a worker sends a non-idempotent request in all, until it knows that it ran.
+	repeats = 3
+)
+
+// Workload says what a load sends: requests of a tenant to a keyed and to an unkeyed service.
+type Workload struct {
+	Tenant         model.Tenant
+	Keyed, Unkeyed model.Service
+}
+
+// Load sends requests through the ready entry VMs until it is stopped.
+type Load struct {
+	cluster  *Cluster
+	caller   *Caller
+	workload Workload
+	cancel   context.CancelFunc
+	workers  sync.WaitGroup
+}
+
+// StartLoad starts a load.
+func StartLoad(c *Cluster, caller *Caller, workload Workload) *Load {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &Load{cluster: c, caller: caller, workload: workload, cancel: cancel}
+	for range maxWorkers {
+		l.workers.Add(1)
+		go l.work(ctx)
+	}
+	return l
+}
+
+// Stop ends the load. Requests under way are finished.
+func (l *Load) Stop() {
+	l.cancel()
+	l.workers.Wait()
+}
+
+func (l *Load) work(ctx context.Context) {
+	defer l.workers.Done()
+	for number := 0; ctx.Err() == nil; number++ {
+		l.send(l.request(number))
+		timer := time.NewTimer(workerPause)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+		}
+	}
+}
+
+// request returns keyed and unkeyed, idempotent and non-idempotent requests in turn.
+func (l *Load) request(number int) Request {
+	request := Request{
+		ID:         model.NewRequestID().String(),
+		Tenant:     l.workload.Tenant,
+		Service:    l.workload.Keyed,
+		Key:        fmt.Sprintf("key-%d", rand.IntN(loadKeys)),
+		Path:       "load",
+		Idempotent: number%2 == 0,
+		Body:       fmt.Sprintf("body-%d", rand.Uint64()),
+		Deadline:   loadDeadline,
+	}
+	if number%4 > 1 && l.workload.Unkeyed != "" {
+		request.Service, request.Key = l.workload.Unkeyed, ""
+	}
+	return request
+}
+
+// send sends a request through a random entry VM. A non-idempotent one is sent again, through another VM, until it is known
+// to have run, as an impatient app does.
+func (l *Load) send(request Request) {
+	for range repeats {
+		ready := l.cluster.Ready()
+		if len(ready) == 0 {
+			return
+		}
+		exchange := l.caller.Do(context.Background(), ready[rand.IntN(len(ready))], request)
+		if request.Idempotent || exchange.Outcome == result.Ran.String() {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/testbed/operator.go
@@ -0,0 +1,100 @@
+package testbed
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"regexp"
+	"strconv"
+	"time"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/config"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/result"
+)
+
+// operatorTimeout bounds one operators' command. It exceeds the command's own time limit.
+const operatorTimeout = 40 * time.Second
+
+var acceptedVersion = regexp.MustCompile(`(?:accepted|unchanged): version (\d+)`)
+
+// Finished is the result of an operators' command.
+type Finished struct {
+	ExitCode int
+	Output   string
+}
+
+// Version returns the version that a publish reported, or 0.
+func (f Finished) Version() model.Offset {
+	match := acceptedVersion.FindStringSubmatch(f.Output)
+	if match == nil {
+		return 0
+	}
+	version, err := strconv.ParseUint(match[1], 10, 64)
+	if err != nil {
+		return 0
+	}
+	return model.Offset(version)
+}
+
+// Operator runs an operators' command that talks to the log. It is safe for concurrent use.
+func (c *Cluster) Operator(ctx context.Context, args ...string) (Finished, error) {
+	c.mutex.Lock()
+	c.commands++
+	name := fmt.Sprintf("operator-%d", c.commands)
+	c.mutex.Unlock()
+	variables := []string{"TARRAGONPOINT_PLATFORM_LOG_URL=" + c.LogURL, "TARRAGONPOINT_AUTHOR=" + name}
+	p, err := c.run(command{name: name, path: c.options.Programs.Router, args: args, variables: variables})
+	if err != nil {
+		return Finished{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	if err := p.wait(ctx); err != nil {
+		p.Kill()
+		return Finished{}, err
+	}
+	return Finished{ExitCode: p.ExitCode(), Output: p.Output()}, nil
+}
+
+// Publish publishes a configuration on top of a version, with further flags of the command.
+func (c *Cluster) Publish(ctx context.Context, state config.State, base model.Offset, flags ...string) (Finished, error) {
+	inventory, err := config.FormatInventory(state)
+	if err != nil {
+		return Finished{}, err
+	}
+	rules, err := config.FormatRules(state)
+	if err != nil {
+		return Finished{}, err
+	}
+	dir, err := os.MkdirTemp(c.options.Dir, "config-")
+	if err != nil {
+		return Finished{}, err
+	}
+	args := []string{"config", "publish", "-base", strconv.FormatUint(uint64(base), 10)}
+	for flag, data := range map[string][]byte{"inventory": inventory, "rules": rules} {
+		path := dir + "/" + flag + ".yaml"
+		if err := os.WriteFile(path, data, fileMode); err != nil {
+			return Finished{}, err
+		}
+		args = append(args, "-"+flag, path)
+	}
+	return c.Operator(ctx, append(args, flags...)...)
+}
+
+// PublishFirst publishes the cluster's own configuration and waits until all entry VMs are ready.
+func (c *Cluster) PublishFirst(ctx context.Context) (Finished, error) {
+	finished, err := c.Publish(ctx, c.State, 0)
+	if err != nil {
+		return finished, err
+	}
+	if finished.ExitCode != result.ExitOK {
+		return finished, fmt.Errorf("publish: exit code %d: %s", finished.ExitCode, finished.Output)
+	}
+	return finished, Await(ctx, startTimeout, "all entry VMs to be ready", func() bool {
+		return len(c.Ready()) == len(c.Entries())
+	})
+}
+
+// Ready returns the entry VMs to which a balancer sends requests now.
+func (c *Cluster) Ready() []*Entry { return c.balancer.ready() }
--- /dev/null
+++ b/internal/testbed/target.go
@@ -0,0 +1,120 @@
+package testbed
+
+import (
+	"context"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/config"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/route"
+	"github.com/tarragonpoint/tarragonpoint/internal/standin"
+	"github.com/tarragonpoint/tarragonpoint/internal/target"
+)
+
+// Target is one stand-in target.
+type Target struct {
+	*Process
+	Inventory config.Target
+	command   command
+	journal   string
+}
+
+func (c *Cluster) startTargets(ctx context.Context) error {
+	for _, id := range sortedIDs(c.State.Targets) {
+		listed := c.State.Targets[id]
+		if !c.options.KeepAddresses || !addresses.take(string(listed.Address)) {
+			address, err := addresses.free()
+			if err != nil {
+				return err
+			}
+			listed.Address = target.Address(address)
+			c.State.Targets[id] = listed
+		}
+		if err := c.startTarget(listed); err != nil {
+			return err
+		}
+	}
+	for _, started := range c.Targets {
+		if err := awaitListening(ctx, started.Process, string(started.Inventory.Address)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func sortedIDs(targets map[model.TargetID]config.Target) []model.TargetID {
+	ids := make([]model.TargetID, 0, len(targets))
+	for id := range targets {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (c *Cluster) startTarget(listed config.Target) error {
+	service := c.State.Services[listed.Service]
+	journal := filepath.Join(c.options.Dir, string(listed.ID)+".journal")
+	args := []string{"target", "--id", string(listed.ID), "--listen", string(listed.Address), "--journal", journal,
+		"--vm", string(listed.VM), "--zone", string(listed.Zone), "--vmlist", c.listURL,
+		"--concurrency", strconv.Itoa(service.Concurrency), "--cold-start", service.ColdStart.String(),
+		"--cold-initial", strconv.Itoa(service.ColdInitial)}
+	if service.Fencing != route.FencingChecked {
+		args = append(args, "--unchecked")
+	}
+	started := command{name: "target-" + string(listed.ID), path: c.options.Programs.StandIn, args: args}
+	p, err := c.run(started)
+	if err != nil {
+		return err
+	}
+	c.Targets[listed.ID] = &Target{Process: p, Inventory: listed, command: started, journal: journal}
+	return nil
+}
+
+// RestartTarget starts a target again that was killed, with empty memory and at the same address.
+func (c *Cluster) RestartTarget(ctx context.Context, id model.TargetID) error {
+	restarted := c.Targets[id]
+	p, err := c.run(restarted.command)
+	if err != nil {
+		return err
+	}
+	restarted.Process = p
+	return awaitListening(ctx, p, string(restarted.Inventory.Address))
+}
+
+// Runs returns the record of all targets, including those that were killed.
+func (c *Cluster) Runs() ([]Run, error) {
+	var runs []Run
+	for id, started := range c.Targets {
+		lines, err := standin.ReadJournal(started.journal)
+		if err != nil {
+			return nil, err
+		}
+		runs = append(runs, foldJournal(id, started.Inventory.Zone, lines)...)
+	}
+	return runs, nil
+}
+
+// foldJournal joins the line of the start and that of the end of each run.
+func foldJournal(id model.TargetID, zone model.Zone, lines []standin.JournalLine) []Run {
+	type key struct {
+		incarnation model.Incarnation
+		attempt     string
+		start       model.Instant
+	}
+	var runs []Run
+	positions := map[key]int{}
+	for _, line := range lines {
+		k := key{line.Run.Incarnation, line.Run.Attempt, line.Run.Start}
+		position, started := positions[k]
+		if started {
+			runs[position].Run = line.Run
+			continue
+		}
+		positions[k] = len(runs)
+		runs = append(runs, Run{Run: line.Run, Target: id, Zone: zone, StartedAt: time.Unix(0, line.AtNanos)})
+	}
+	return runs
+}
