Send full rounds of statuses also while statuses change

Cause: a message with changed statuses also restarted the interval of the full rounds. While any target of a lessor changed its load at least every 2 s, no full round was sent, and the status of a target without changes expired at all entry VMs after 6 s. Its keys were then refused with code 204 for 1 to 2 s although its lease was held.

Ruled out with the status endpoint polled every 40 ms during a rolling replacement: a lost lease (held all the time), a silent target (no notice), a term refused by the target, a move.

--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -68,6 +68,7 @@
 	heartbeatAt  model.Instant
 	farBeatAt    model.Instant
 	statusAt     model.Instant
+	fullStatusAt model.Instant
 	planAt       model.Instant
 	publishedAt  model.Instant
 	snapshotAt   map[record.Stream]model.Instant
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -67,7 +67,7 @@
 
 // sendStatuses sends changed statuses soon and all of them from time to time.
 func (n *Node) sendStatuses() {
-	full := n.statusAt == 0 || n.now.Sub(n.statusAt) >= statusInterval
+	full := n.fullStatusAt == 0 || n.now.Sub(n.fullStatusAt) >= statusInterval
 	if !full && (len(n.pendingStats) == 0 || n.now.Sub(n.statusAt) < statusDelay) {
 		return
 	}
@@ -82,6 +82,9 @@
 		update.Statuses = append(update.Statuses, message.TargetStatus{Target: id, Status: status})
 	}
 	n.statusAt = n.now
+	if full {
+		n.fullStatusAt = n.now
+	}
 	n.pendingStats = map[model.TargetID]bool{}
 	if len(update.Statuses) == 0 {
 		return
--- /dev/null
+++ b/internal/control/status_test.go
@@ -0,0 +1,36 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/lease"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+)
+
+// Guards against changes of one target that put off the full rounds, so that the statuses of all quiet targets expire at
+// every entry VM.
+func TestChangesDoNotPutOffFullRounds(t *testing.T) {
+	n := NewNode(Settings{VM: "a"})
+	n.knownPeers["b"] = "127.0.0.1:1"
+	for _, id := range []model.TargetID{"busy", "quiet"} {
+		n.targets[id] = &targetState{id: id, keeper: lease.NewKeeper("a"), acting: true}
+	}
+	const step = 100 * time.Millisecond
+	heardAt := model.Instant(step)
+	for n.now = heardAt; n.now < model.Instant(3*statusLife); n.now = n.now.Add(step) {
+		n.pendingStats["busy"] = true
+		n.effects = nil
+		n.sendStatuses()
+		for _, effect := range n.effects {
+			for _, sent := range effect.(Send).Message.StatusUpdate.Statuses {
+				if sent.Target == "quiet" {
+					heardAt = n.now
+				}
+			}
+		}
+		require.LessOrEqual(t, n.now.Sub(heardAt), statusInterval)
+	}
+}
