Report a new VM as ready only when it has the statuses of targets

Cause: a new VM reported ready as soon as it had folded the log, and refused requests for every target of which it had no status with code 204 or 203 until the lessors' next full round, up to 2 s later.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -56,6 +56,7 @@
 	dispatcher *dispatch.Dispatcher
 	policies   *policies
 	hotKeys    *hotKeys
+	readiness  readiness
 	background sync.WaitGroup
 }
 
@@ -176,7 +177,7 @@
 	return &route.Table{VM: e.settings.VM, Zone: e.settings.Zone, Region: e.settings.Region}
 }
 
-func (e *entry) ready() bool { return e.table().Ready }
+func (e *entry) ready() bool { return e.readiness.isReady(e.clock.Now(), e.table()) }
 
 func (e *entry) serviceOf(id model.TargetID) model.Service {
 	if known, found := e.table().Targets[id]; found {
