Hold a lease at once when stepping in again as the lessor

Cause: a lessor that acts again after another one did renews with its last reading of the target's clock. That reading is older than a lease, so the first renewal extends nothing. The keeper then waited the regular 500 ms, and did not report that the lease was held afterwards, so the status "not serving" stayed at all entry VMs until the next full round, up to 2 s later. The keeper now renews again at once and reports the change.

Found as refusals with code 204 of all keys of one target, for about 1 s from 1 s after a planned stop; ruled out: the revocation of slots and the handover of the at-most-once table, since idempotent requests were refused too.

--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -216,9 +216,15 @@
 	}
 }
 
-// extend notes a renewed lease. It reports whether the set of held slots changed.
+// extend notes a renewed lease. It reports whether the set of held slots changed or the lease is held again.
 func (k *Keeper) extend(now model.Instant, answered call, continuous bool) bool {
+	wasHeld := k.localEnd > now
 	k.localEnd = answered.basis.holdsUntil()
+	isHeld := k.localEnd > now
+	if !isHeld {
+		// The reading was too old, from before another lessor acted. The present answer is a new one.
+		k.nextAt = now
+	}
 	k.validUntil = answered.basis.validUntil()
 	k.version = answered.request.GrantsVersion
 	revoked := make(map[model.Slot]bool, len(k.reply.Revoked))
@@ -226,7 +232,7 @@
 		revoked[slot] = true
 	}
 	slots := make(map[model.Slot]slotHold, len(answered.grantsSent))
-	changed := false
+	changed := wasHeld != isHeld
 	for _, grant := range answered.grantsSent {
 		if revoked[grant.Slot] {
 			continue
--- /dev/null
+++ b/internal/lease/keeper_test.go
@@ -0,0 +1,41 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/target"
+)
+
+// Guards against a lessor that steps in again after another one acted, renews with a reading that is too old, waits for the
+// regular interval, and then does not report that it holds the lease.
+func TestSteppingInAgainHoldsTheLeaseAtOnce(t *testing.T) {
+	const incarnation, version = 7, 1
+	k := NewKeeper("a")
+	now := model.Instant(time.Second)
+	held := model.Term{}
+	renew := func(term model.Term) bool {
+		directive := Directive{Active: true, Term: term, Registered: incarnation, Version: version}
+		call, due := k.Next(now, directive)
+		require.True(t, due)
+		reply := target.RenewReply{Accepted: true, Term: term, PreviousTerm: held, Incarnation: incarnation, Clock: now, GrantsVersion: version}
+		held = term
+		now = now.Add(time.Millisecond)
+		return k.Answered(now, call.Sequence, reply)
+	}
+	first, second := model.Term{Epoch: 1}, model.Term{Epoch: 3}
+	renew(first)
+	renew(first)
+	_, holding := k.Holding(now)
+	require.True(t, holding)
+	now = now.Add(time.Minute)
+	held = model.Term{Epoch: 2}
+	renew(second)
+	changed := renew(second)
+	_, holding = k.Holding(now)
+	require.True(t, holding)
+	require.True(t, changed)
+}
