--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -51,6 +51,7 @@
 	dispatcher *dispatch.Dispatcher
 	policies   *policies
 	hotKeys    *hotKeys
+	readiness  readiness
 	background sync.WaitGroup
 }
 
@@ -97,6 +98,7 @@
 		post:      e.loop.post,
 	}
 	adapters.peer.SetHandler(e.onPeerMessage)
+	installTestCut(adapters.peer, e.log)
 	provider := &host{settings: configured, log: log, metrics: e.metrics, front: e.frontSettings(log)}
 	return e, adapters.set.Provision(provider)
 }
@@ -173,7 +175,7 @@
 	return &route.Table{VM: e.settings.VM, Zone: e.settings.Zone, Region: e.settings.Region}
 }
 
-func (e *entry) ready() bool { return e.table().Ready }
+func (e *entry) ready() bool { return e.readiness.isReady(e.clock.Now(), e.table()) }
 
 func (e *entry) serviceOf(id model.TargetID) model.Service {
 	if known, found := e.table().Targets[id]; found {
