End the processes of a testbed with a watching shell

Cause: the parent-death signal did not arrive on the machine of the tests: after go test -timeout 6s ended the rolling replacement, 16 processes of the testbed were left. A shell now holds the list of running processes and kills them when its input ends. A wrapper for each process was ruled out, because signals would go to the wrapper.

--- a/internal/testbed/process.go
+++ b/internal/testbed/process.go
@@ -6,9 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"runtime"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 )
@@ -34,19 +32,6 @@
 	variables []string
 }
 
-// starter starts all processes from one thread that never ends. The kernel ends a process when the thread that started it
-// ends, and the runtime may end other threads at any time.
-var starter = sync.OnceValue(func() chan<- func() {
-	work := make(chan func())
-	go func() {
-		runtime.LockOSThread()
-		for start := range work {
-			start()
-		}
-	}()
-	return work
-})
-
 // startProcess starts a command with its output appended to a file in dir.
 func startProcess(dir string, c command) (*Process, error) {
 	path := filepath.Join(dir, c.name+".out")
@@ -58,17 +43,21 @@
 	cmd := exec.Command(c.path, c.args...)
 	cmd.Env = append(environment(), c.variables...)
 	cmd.Stdout, cmd.Stderr = file, file
-	cmd.SysProcAttr = processAttributes()
-	started := make(chan error)
-	starter() <- func() { started <- cmd.Start() }
-	if err := <-started; err != nil {
+	cmd.SysProcAttr = ownGroup()
+	if err := cmd.Start(); err != nil {
 		return nil, fmt.Errorf("start %s: %w", c.name, err)
 	}
 	p := &Process{Name: c.name, output: path, cmd: cmd, done: make(chan struct{})}
+	watchErr := watch("+", p.PID())
 	go func() {
 		defer close(p.done)
-		_ = cmd.Wait() // The exit code is read from the state.
+		_ = cmd.Wait()          // The exit code is read from the state.
+		_ = watch("-", p.PID()) // Without a watcher the start has failed.
 	}()
+	if watchErr != nil {
+		p.Kill()
+		return nil, fmt.Errorf("watch %s: %w", c.name, watchErr)
+	}
 	return p, nil
 }
 
