Read a target's clock anew before renewing with an old reading

A lessor that stepped in again renewed with a reading from its earlier term, and the fake target took the older end of the lease; a lessor that had only been refused so far waited for the regular interval after its first reading. Ruled out: shortening the interval for all renewals (more control traffic). Change: a reading that can no longer carry a lease is replaced first, at once; a renewal never makes a lease shorter, which the protocol now says.

--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -35,6 +35,8 @@
 	basis      reading
 	extends    bool
 	grantsSent []target.Grant
+	// isFirstReading is true if the renewal only read the clock because no usable reading was there.
+	isFirstReading bool
 }
 
 // Keeper is the lessor's state for one target. It is not safe for concurrent use.
@@ -90,26 +92,34 @@
 		return Call{}, false
 	}
 	k.sequence++
-	started := &call{sequence: k.sequence, sentAt: now, request: k.request(directive)}
+	started := &call{sequence: k.sequence, sentAt: now, request: k.request(now, directive)}
 	if started.request.ValidUntil > 0 {
 		started.extends = true
 		started.basis = *k.latest
 		started.grantsSent = directive.Grants
 		k.endsBy = max(k.endsBy, k.latest.endsBy())
 	}
+	started.isFirstReading = !k.hasReading(now)
 	k.inflight = started
 	k.claimed = directive.Term
 	return Call{Sequence: k.sequence, Request: started.request, Fresh: k.failures > 0}, true
 }
 
-func (k *Keeper) request(directive Directive) target.RenewRequest {
+// hasReading reports whether there is a reading of the clock that can still carry a lease.
+func (k *Keeper) hasReading(now model.Instant) bool {
+	return k.latest != nil && now < k.latest.holdsUntil()
+}
+
+// request returns the renewal that the directive asks for. It only reads the clock while there is no reading of the
+// registered incarnation that can still carry a lease.
+func (k *Keeper) request(now model.Instant, directive Directive) target.RenewRequest {
 	request := target.RenewRequest{
 		Lessor:      k.vm,
 		Term:        directive.Term,
 		Incarnation: k.incarnation,
 	}
 	registered := k.incarnation != 0 && k.incarnation == directive.Registered
-	if k.latest == nil || k.stopped || !registered {
+	if !k.hasReading(now) || k.stopped || !registered {
 		return request
 	}
 	request.ValidUntil = k.latest.validUntil()
@@ -164,7 +174,7 @@
 // soon returns when to renew after an answer that did not extend the lease: at once if that was the first reading of
 // the incarnation, so that the target serves as early as possible.
 func (k *Keeper) soon(now model.Instant, answered call, reply target.RenewReply) model.Instant {
-	if answered.request.Incarnation != reply.Incarnation {
+	if answered.request.Incarnation != reply.Incarnation || answered.isFirstReading {
 		return now
 	}
 	return answered.sentAt.Add(RenewInterval)
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -82,7 +82,8 @@
 	// Incarnation is the incarnation that the lessor believes it talks to; 0 before the first answer. A target with another
 	// incarnation answers but takes neither the lease nor the grants.
 	Incarnation model.Incarnation `json:"incarnation"`
-	// ValidUntil is the end of the lease on the target's monotonic clock, in ns; 0 reads the clock only.
+	// ValidUntil is the end of the lease on the target's monotonic clock, in ns; 0 reads the clock only. A renewal never
+	// makes a lease shorter.
 	ValidUntil model.Instant `json:"valid_until"`
 	// GrantsVersion identifies the set of grants. If it differs from the target's and HasGrants is false, the target reads the
 	// clock only: a lease must never extend grants that the lessor did not name.
--- a/internal/testbed/control.go
+++ b/internal/testbed/control.go
@@ -10,7 +10,7 @@
 	"os"
 	"time"
 
-	"github.com/tarragonpoint/tarragonpoint/internal/entry"
+	"github.com/tarragonpoint/tarragonpoint/internal/admin"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
 	"github.com/tarragonpoint/tarragonpoint/internal/standin"
 )
@@ -62,15 +62,15 @@
 }
 
 // Owner asks an entry VM for the owner of a key.
-func (c *Cluster) Owner(ctx context.Context, e *Entry, service model.Service, tenant model.Tenant, key string) (entry.OwnerAnswer, error) {
+func (c *Cluster) Owner(ctx context.Context, e *Entry, service model.Service, tenant model.Tenant, key string) (admin.Owner, error) {
 	query := url.Values{"service": {string(service)}, "key": {key}, "tenant": {string(tenant)}}
-	var answer entry.OwnerAnswer
+	var answer admin.Owner
 	return answer, c.get(ctx, "http://"+e.Admin+"/admin/owner?"+query.Encode(), &answer)
 }
 
 // Status asks an entry VM for its status.
-func (c *Cluster) Status(ctx context.Context, e *Entry) (entry.StatusAnswer, error) {
-	var answer entry.StatusAnswer
+func (c *Cluster) Status(ctx context.Context, e *Entry) (admin.Status, error) {
+	var answer admin.Status
 	return answer, c.get(ctx, "http://"+e.Admin+"/admin/status", &answer)
 }
 
@@ -88,7 +88,7 @@
 	})
 }
 
-func (c *Cluster) isPlaced(status entry.StatusAnswer) bool {
+func (c *Cluster) isPlaced(status admin.Status) bool {
 	for _, known := range status.Targets {
 		if known.Slots == 0 && c.State.Services[known.Service].Keyed {
 			return false
