--- /dev/null
+++ b/internal/proof/takeover_test.go
@@ -0,0 +1,45 @@
+package proof
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func (w *world) cutBoth(a, b string) {
+	w.cut[[2]string{a, b}] = true
+	w.cut[[2]string{b, a}] = true
+}
+
+// TestTakeoverNeedsStatements guards against a lessor that takes slots from a target that is silent only to it, while
+// another member, of which nothing is heard, keeps the target's lease.
+func TestTakeoverNeedsStatements(t *testing.T) {
+	t.Parallel()
+	for seed := range int64(4) {
+		w := newWorld(seed, 2, 2, 2, t.Fatalf)
+		w.onTime = true
+		w.runFor(worldStart, w.checkOwners)
+		id := w.targetIDs()[seed]
+		lessors := w.senders(id)
+		require.Len(t, lessors, 1)
+		lessor := w.vms[lessors[0]]
+		w.cutBoth(lessor.name, string(id))
+		for _, name := range w.vmNames() {
+			if vm := w.vms[name]; vm.zone == lessor.zone && vm != lessor {
+				w.isolate(name, string(id))
+			}
+		}
+		w.runFor(12*time.Second, w.checkOwners)
+		require.True(t, w.targets[id].hasLease(), "seed %d: the other member keeps the lease", seed)
+	}
+}
+
+// isolate cuts an endpoint off from all others but one.
+func (w *world) isolate(name, from string) {
+	for _, other := range w.endpoints() {
+		if other != from && other != name {
+			w.cutBoth(name, other)
+		}
+	}
+}
