Leave cells that list this VM under an older incarnation

Cause: a stand-in that restarts joins only its own cell. The other cell kept listing its predecessor; the VM's heartbeats kept it from being suspected and removed, but the new process was not that member and did not act. The targets for which it ranked first had no lessor for good. Ruled out: takeover evidence (target-b1 was alive and granted slots), statuses. The VM now removes the old incarnation as stopped: its process has ended or renews nothing there, and a takeover still waits for one lease bound after the change of the cell.

--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -154,6 +154,10 @@
 			n.leaveStandIn(zone)
 			continue
 		}
+		if n.isListed(zone) {
+			n.leaveCell(zone)
+			continue
+		}
 		members := n.assign.state.Members(zone)
 		if len(members) >= standInCount || n.hasOwnMember(zone) || len(n.assign.state.Removed(zone)) > 0 {
 			continue
@@ -179,12 +183,24 @@
 	}
 }
 
+// isListed reports whether a cell lists this VM under any incarnation. A process that started again hides a cell's need
+// for a lessor if the cell still lists its predecessor, because the VM sends heartbeats but does not act.
+func (n *Node) isListed(zone model.Zone) bool {
+	c, ok := n.assign.state.Cells[zone]
+	if !ok {
+		return false
+	}
+	_, listed := c.Members[n.settings.VM]
+	return listed
+}
+
+// leaveCell removes the listed incarnation of this VM from a cell. It renews nothing there any more.
 func (n *Node) leaveCell(zone model.Zone) {
 	epoch := n.assign.state.CellEpoch(zone)
 	leave := record.MemberRemove{
 		Cell:        zone,
 		VM:          n.settings.VM,
-		Incarnation: n.incarnation,
+		Incarnation: n.assign.state.Cells[zone].Members[n.settings.VM].Incarnation,
 		CellEpoch:   epoch,
 		Stopped:     true,
 	}
