--- a/internal/proof/ledger_test.go
+++ b/internal/proof/ledger_test.go
@@ -49,12 +49,24 @@
 	if base < known.epoch {
 		l.w.fatal("record %d of %v rests on %d, which was replaced by %d before", found.epoch, slot, base, known.epoch)
 	}
+	l.checkEpoch(vm, found.epoch)
 	if t := l.w.targets[owner]; t != nil && !l.w.allowed(slot.Class, t) {
 		l.w.fatal("%s has %v at %s outside its region", vm.name, slot, owner)
 	}
 	l.acked[slot] = found
 }
 
+// checkEpoch requires that the members of its cell did not change between the evidence of a Reassign and the record.
+func (l *ledger) checkEpoch(vm *entryVM, offset model.Offset) {
+	r := l.w.log.history[record.AssignStream][offset-1].Record.Reassign
+	if r == nil {
+		return
+	}
+	if epoch := vm.node.Assignments().Cells[r.Cell].Epoch; epoch > r.CellEpoch && epoch < offset {
+		l.w.fatal("record %d rests on epoch %d of %s, which was %d by then", offset, r.CellEpoch, r.Cell, epoch)
+	}
+}
+
 // recorded returns the base epoch and the owner that the record at an offset gives to a slot.
 func (l *ledger) recorded(slot model.Slot, offset model.Offset) (base model.Offset, owner model.TargetID) {
 	r := l.w.log.history[record.AssignStream][offset-1].Record
