Cancel only idempotent attempts and keep the quarantine place of late ones

Cause: target.HTTPClient sent a cancellation for every attempt whose deadline ended, so a non-idempotent request could be ended half way. A canceled loser of a hedge, and an attempt on a silent connection, were reported to the chooser as unknown and so counted as failures that eject the target. The quarantine place was released when Handle returned, while a late non-idempotent attempt could still run. An answer that says cold was ignored until the next status.

Changes: target.Request.NoCancel is set for non-idempotent attempts. Chooser.End gets not-run for canceled and silent attempts. Attempts hold the quarantine place of their request.

Command: go test ./internal/dispatch ./internal/target.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -82,7 +83,7 @@
 	}
 	request := target.Request{
 		Attempt: f.Attempt, Method: f.Method, Path: f.Path, Header: http.Header(f.Header), Body: f.Body,
-		Slot: f.Slot, KeyHash: f.KeyHash, Fence: f.Fence, Timeout: timeout,
+		Slot: f.Slot, KeyHash: f.KeyHash, Fence: f.Fence, Timeout: timeout, NoCancel: !f.Idempotent,
 	}
 	if as != nil {
 		request.Term = &as.term
@@ -90,6 +91,9 @@
 	}
 	d.Chooser.Begin(t.ID)
 	response, err := d.Client.Do(ctx, t.Address, request)
+	if err == nil && response.Cold {
+		d.cold.note(t.ID, d.Clock.Now())
+	}
 	reply := classify(f.Attempt, f.Slot != nil, response, err)
 	if errorx.IsOfType(err, target.ErrBroken) && d.crashed(t) {
 		d.strike(f, t.ID)
@@ -97,10 +101,25 @@
 	}
 	reply.Target = t.ID
 	reply.Fence = f.Fence
-	d.Chooser.End(t.ID, d.Clock.Now().Sub(started), reply.Outcome)
+	took := d.Clock.Now().Sub(started)
+	d.Chooser.End(t.ID, took, d.outcomeOfTarget(ctx, t.ID, took, reply))
 	return reply
 }
 
+// outcomeOfTarget returns what an attempt says about its target; result.NotRun says nothing. That holds for a canceled
+// attempt, and for a missed deadline on a silent connection while the target's lease is renewed.
+func (d *Dispatcher) outcomeOfTarget(ctx context.Context, id model.TargetID, took time.Duration, reply message.ForwardReply) result.Outcome {
+	if reply.Code != result.DeadlineMissed {
+		return reply.Outcome
+	}
+	now := d.current.Load().table.Targets[id]
+	renewed := now != nil && now.Status != nil && now.Status.Serving
+	if errors.Is(ctx.Err(), context.Canceled) || (renewed && took >= d.silence(now.Service)) {
+		return result.NotRun
+	}
+	return reply.Outcome
+}
+
 // forward sends a request to the lessor of its target and waits for the reply.
 func (d *Dispatcher) forward(ctx context.Context, f *message.Forward, p plan) message.ForwardReply {
 	table := d.current.Load().table
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -64,6 +64,7 @@
 	gates   gates
 	pending pendingForwards
 	running runningForwards
+	cold    coldNotes
 	// base ends when Stop is complete.
 	base   context.Context
 	cancel context.CancelFunc
--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -8,6 +8,6 @@
 // the lessor has closed the request ID, and "unknown" without the lessor's word.
 //
 // Lock order. SetTable and Stop hold Dispatcher.tableMu first; below it come the locks of dedup.Table, then the lock of
-// the set of gates, then one gate. The locks of lifecycle, pendingForwards and runningForwards are leaves: no other
+// the set of gates, then one gate. The locks of lifecycle, pendingForwards, runningForwards and coldNotes are leaves: no other
 // lock is taken under them. No lock is held during a call to target.Client, Sender or a policy.
 package dispatch
--- a/internal/dispatch/handle.go
+++ b/internal/dispatch/handle.go
@@ -35,14 +35,15 @@
 	if !allowed {
 		return refusal("", result.Quarantined)
 	}
-	defer leave()
+	quarantined := newPlace(leave)
+	defer quarantined.release()
 	release, code := d.Admission.Acquire(request.Tenant, request.Service)
 	if code != result.OK {
 		return refusal("", code)
 	}
 	defer release()
 	d.Retry.Deposit(request.Service)
-	e := &execution{d: d, request: request, tried: map[model.TargetID]bool{}}
+	e := &execution{d: d, request: request, place: quarantined, tried: map[model.TargetID]bool{}}
 	e.deadline = d.Clock.Now().Add(d.remaining(request))
 	e.holdUntil = d.Clock.Now().Add(holdLimit)
 	return e.run(ctx)
@@ -52,6 +53,7 @@
 type execution struct {
 	d         *Dispatcher
 	request   *Request
+	place     *place
 	deadline  model.Instant
 	holdUntil model.Instant
 	// tried holds the targets of earlier attempts of a request without a key.
--- a/internal/dispatch/interfaces.go
+++ b/internal/dispatch/interfaces.go
@@ -27,7 +27,8 @@
 type Chooser interface {
 	// Choose returns one of the candidates, or nil to use none. There is at least one candidate.
 	Choose(table *route.Table, service *route.Service, candidates []*route.Target) *route.Target
-	// Begin and End enclose each attempt that this VM sends to a target.
+	// Begin and End enclose each attempt that this VM sends to a target. The outcome result.NotRun says nothing about the
+	// target: the attempt was refused or canceled, or its connection was silent while the target answered others.
 	Begin(target model.TargetID)
 	End(target model.TargetID, latency time.Duration, outcome result.Outcome)
 }
--- a/internal/dispatch/race.go
+++ b/internal/dispatch/race.go
@@ -68,11 +68,13 @@
 	return silence, hedge
 }
 
-// silence returns the time without an answer after which a connection counts as silent.
-func (r *race) silence() time.Duration {
-	return max(silenceFloor, silenceFactor*r.e.d.Hedger.P99(r.e.request.Service))
+// silence returns the time without an answer after which a connection to a target of the service counts as silent.
+func (d *Dispatcher) silence(service model.Service) time.Duration {
+	return max(silenceFloor, silenceFactor*d.Hedger.P99(service))
 }
 
+func (r *race) silence() time.Duration { return r.e.d.silence(r.e.request.Service) }
+
 // launch starts one attempt. An attempt of a non-idempotent request outlives its caller.
 func (r *race) launch(ctx context.Context, p plan) {
 	if !r.e.request.Idempotent {
@@ -84,8 +86,11 @@
 	r.running++
 	d, deadline, request := r.e.d, r.e.deadline, *r.e.request
 	d.life.hold()
+	held := r.e.place
+	held.hold()
 	go func() {
 		defer d.life.leave()
+		defer held.release()
 		defer cancel()
 		r.results <- d.attempt(ctx, &request, p, deadline)
 	}()
@@ -107,7 +112,7 @@
 // An attempt at a cold target may wait at the lessor's gate and is left there.
 func (r *race) replaceSilent(ctx context.Context) {
 	status := r.plan.target.Status
-	if r.started >= maxAttempts || !status.Serving || status.Cold || !r.e.d.Retry.Withdraw(r.e.request.Service) {
+	if r.started >= maxAttempts || !status.Serving || r.e.d.isCold(r.plan.target) || !r.e.d.Retry.Withdraw(r.e.request.Service) {
 		return
 	}
 	cancelSilent := r.cancelLast
--- a/internal/dispatch/resolve.go
+++ b/internal/dispatch/resolve.go
@@ -45,7 +45,7 @@
 	if code := d.resolveOwner(v, &p, key); code != result.OK {
 		return plan{}, code
 	}
-	if !request.Idempotent || p.target.Fencing != route.FencingChecked || p.target.Status.Cold {
+	if !request.Idempotent || p.target.Fencing != route.FencingChecked || d.isCold(p.target) {
 		return d.withLessor(v, p)
 	}
 	return p, result.OK
@@ -88,7 +88,7 @@
 	if p.target == nil {
 		return plan{}, result.NoTarget
 	}
-	if p.target.Fencing != route.FencingChecked || p.target.Status.Cold {
+	if p.target.Fencing != route.FencingChecked || d.isCold(p.target) {
 		return d.withLessor(v, p)
 	}
 	return p, result.OK
--- a/internal/target/http.go
+++ b/internal/target/http.go
@@ -69,8 +69,8 @@
 	return reply, err
 }
 
-// Do runs one attempt, as Client describes. When ctx or the timeout ends after the request was written, it asks the
-// target to cancel the attempt and returns ErrTimeout without waiting for that.
+// Do runs one attempt, as Client describes. When ctx or the timeout ends after the request was written, it returns
+// ErrTimeout without waiting for the cancellation.
 func (c *HTTPClient) Do(ctx context.Context, address Address, attempt Request) (Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, attempt.Timeout)
 	defer cancel()
@@ -81,7 +81,7 @@
 	matches := func(received answer) bool { return received.header.Get(HeaderAttempt) == attempt.Attempt }
 	received, err := c.send(ctx, laneRequest, address, request, false, matches)
 	if err != nil {
-		if errorx.IsOfType(err, ErrTimeout) {
+		if errorx.IsOfType(err, ErrTimeout) && !attempt.NoCancel {
 			c.cancelAttempt(address, attempt.Attempt)
 		}
 		return Response{}, err
--- a/internal/target/http_test.go
+++ b/internal/target/http_test.go
@@ -214,6 +214,30 @@
 	require.NoError(t, client.Stop(context.Background()))
 }
 
+// Guards against a cancellation that ends a non-idempotent request half way.
+func TestNoCancelForNonIdempotent(t *testing.T) {
+	release := make(chan struct{})
+	raw := startRaw(t, func(_ int64, request *http.Request) []byte {
+		if request.URL.Path == "/x" {
+			<-release
+		}
+		return echo(request, "{}")
+	})
+	client := &HTTPClient{}
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-raw.seen
+		cancel()
+	}()
+	_, err := client.Do(ctx, raw.address, Request{Attempt: "a", Method: http.MethodPost, Path: "/x", Timeout: time.Minute, NoCancel: true})
+	require.True(t, errorx.IsOfType(err, ErrTimeout), "%v", err)
+	close(release)
+	// Stop would end a cancellation that has not been sent yet.
+	client.cancels.Wait()
+	require.Empty(t, raw.seen)
+	require.NoError(t, client.Stop(context.Background()))
+}
+
 // Guards against renewals that wait behind requests to a slow target, and against a fresh renewal on an old connection.
 func TestRenewalsHaveConnectionsOfTheirOwn(t *testing.T) {
 	release := make(chan struct{})
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -159,6 +159,8 @@
 	NotAfter model.Instant
 	// Timeout is the time left until the caller's deadline.
 	Timeout time.Duration
+	// NoCancel is set for a non-idempotent request: it may not be ended half way when its caller or deadline is gone.
+	NoCancel bool
 }
 
 // Response is a whole answer of a target.
@@ -178,6 +180,7 @@
 	Renew(ctx context.Context, address Address, request RenewRequest, fresh bool) (RenewReply, error)
 	// Revoke takes slots from a target.
 	Revoke(ctx context.Context, address Address, request RevokeRequest) (RevokeReply, error)
-	// Do runs one attempt and returns the whole answer, or ErrNotSent, ErrBroken, ErrCrossed or ErrTimeout.
+	// Do runs one attempt and returns the whole answer, or ErrNotSent, ErrBroken, ErrCrossed or ErrTimeout. When ctx or
+	// the timeout ends first, it asks the target to cancel the attempt unless Request.NoCancel is set.
 	Do(ctx context.Context, address Address, request Request) (Response, error)
 }
