Do not run a copy of a forwarded request

Cause: a Forward that the network duplicates was queued twice. For a non-idempotent request the at-most-once table stops the second run. An idempotent one ran again at the target under the same attempt ID, outside the retry budget, and the end of the first copy removed the cancellation of the second.

Ruled out: a retry by the forwarder; both runs came from one lessor with one attempt ID and one Forward of the sender.

--- a/internal/dispatch/cancel_test.go
+++ b/internal/dispatch/cancel_test.go
@@ -206,3 +206,26 @@
 		require.Equal(t, 2, r.client.count())
 	})
 }
+
+// A copy of a forwarded message must not run, whether the first is still running or has ended.
+func TestCopyOfForwardDoesNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil)
+		r.client.do = func(context.Context, target.Address, target.Request, int) (target.Response, error) {
+			time.Sleep(time.Second)
+			return target.Response{Status: 200}, nil
+		}
+		r.SetTable(r.newTable(self))
+		f := &message.Forward{
+			Attempt: "x", Tenant: tenant, Service: keyed, Target: "review-1", Slot: &keySlot, KeyHash: 11, Fence: 9,
+			Idempotent: true, Timeout: 3 * time.Second,
+		}
+		for range 3 {
+			r.OnMessage(other, message.Message{Forward: f})
+			time.Sleep(800 * time.Millisecond)
+		}
+		require.NoError(t, r.Stop(ctx))
+		require.Equal(t, 1, r.client.count())
+		require.Len(t, r.sender.sent, 1)
+	})
+}
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -28,7 +28,8 @@
 	}
 }
 
-// onForward queues a forwarded request. It is registered first so that a cancellation finds it in the queue.
+// onForward queues a forwarded request unless the message is a copy. It is registered first so that a cancellation finds
+// it in the queue.
 func (d *Dispatcher) onForward(from model.VMID, f *message.Forward) {
 	switch d.life.enter() {
 	case entryStopping:
@@ -40,11 +41,17 @@
 	}
 	ctx, cancel := context.WithTimeout(d.base, f.Timeout)
 	key := runningKey{from: from, attempt: f.Attempt}
-	if f.Idempotent {
-		d.running.add(key, cancel)
+	cancelable := cancel
+	if !f.Idempotent {
+		cancelable = nil
+	}
+	if !d.running.add(key, cancelable) {
+		cancel()
+		d.life.leave()
+		return
 	}
 	end := func() {
-		d.running.remove(key)
+		d.running.end(key)
 		cancel()
 		d.life.leave()
 	}
--- a/internal/dispatch/pending.go
+++ b/internal/dispatch/pending.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"context"
 	"sync"
 
 	"github.com/tarragonpoint/tarragonpoint/internal/message"
@@ -57,30 +56,3 @@
 	from    model.VMID
 	attempt string
 }
-
-// runningForwards holds the forwarded requests that their senders may cancel.
-type runningForwards struct {
-	mu    sync.Mutex
-	byKey map[runningKey]context.CancelFunc
-}
-
-func (r *runningForwards) add(key runningKey, cancel context.CancelFunc) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.byKey[key] = cancel
-}
-
-func (r *runningForwards) remove(key runningKey) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.byKey, key)
-}
-
-func (r *runningForwards) cancel(key runningKey) {
-	r.mu.Lock()
-	cancel := r.byKey[key]
-	r.mu.Unlock()
-	if cancel != nil {
-		cancel()
-	}
-}
