--- a/internal/proof/requests/policies_test.go
+++ b/internal/proof/requests/policies_test.go
@@ -34,9 +34,9 @@
 	hedger     *retry.Hedger
 	quarantine *quarantine.Table
 
-	mu                       sync.Mutex
-	requests, taken, hedged  int
-	attempts, crossedRegions int
+	mu                      sync.Mutex
+	requests, taken, hedged int
+	attempts                int
 }
 
 func newPolicies(p *process) *policies {
--- a/internal/proof/requests/server_test.go
+++ b/internal/proof/requests/server_test.go
@@ -53,7 +53,7 @@
 
 type connKey struct{}
 
-func newServer(w *world, id model.TargetID, service model.Service, zone model.Zone, region model.Region) *server {
+func newServer(w *world, id model.TargetID, zone model.Zone, region model.Region) *server {
 	s := &server{w: w, id: id, zone: zone, region: region, origin: time.Now(), conns: make(chan net.Conn), open: map[net.Conn]bool{}}
 	s.rate = 0.995 + 0.01*float64(w.draw(1000))/1000
 	s.target = standin.NewTarget(standin.TargetOptions{
--- a/internal/proof/requests/world_test.go
+++ b/internal/proof/requests/world_test.go
@@ -142,7 +142,7 @@
 			id := model.TargetID(fmt.Sprintf("%s-%s%d", service, zone, i))
 			address := target.Address(fmt.Sprintf("127.0.0.1:%d", 20001+len(w.servers)))
 			state.Targets[id] = config.Target{ID: id, Service: service, Zone: zone, VM: model.VMID(id), Address: address}
-			w.servers = append(w.servers, newServer(w, id, service, zone, at))
+			w.servers = append(w.servers, newServer(w, id, zone, at))
 		}
 	}
 }
