Keep the place of an ended attempt at a cold target

Cause: the loser of a hedge, or an attempt whose caller went away, gave its place at the lessor's gate back at once. The cancellation travels on another connection, so the next request reached the cold target first.

Ruled out: a limit of the lessor above that of the target; the lessor sees the cold start later and its ramp stays below the target's.

Change: at a cold target the place of such an attempt is given back after 250 ms.

--- a/internal/dispatch/constants.go
+++ b/internal/dispatch/constants.go
@@ -36,6 +36,9 @@
 	leaseLength = 2 * time.Second
 	// crashProbeTimeout bounds the reading of a target's incarnation after its connection broke.
 	crashProbeTimeout = 400 * time.Millisecond
+	// lateRelease is how long an attempt that ended early keeps its place at a cold target. A cancellation arrives within
+	// it unless it is lost: it has a connection of its own, and one entry VM sends one at a time to a target.
+	lateRelease = 250 * time.Millisecond
 	// maxAttempts bounds the attempts in one race. Several pooled connections to a target can be silent at once.
 	maxAttempts = 8
 )
--- a/internal/dispatch/lessor.go
+++ b/internal/dispatch/lessor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/tarragonpoint/tarragonpoint/internal/dedup"
 	"github.com/tarragonpoint/tarragonpoint/internal/message"
@@ -133,7 +134,8 @@
 	case gateTimeout:
 		return refusal(f.Attempt, result.DeadlinePassed)
 	}
-	defer places.release()
+	release := places.release
+	defer func() { release() }()
 	now, code := d.holdingOf(f)
 	if code != result.OK {
 		return refusal(f.Attempt, code)
@@ -142,5 +144,10 @@
 	if now.lease.Term != h.lease.Term || now.slot.Since != h.slot.Since || now.class != h.class {
 		return refusal(f.Attempt, result.OwnerUnavailable)
 	}
-	return d.send(ctx, f, now.target, now.class, &sendAs{term: now.lease.Term, notAfter: now.lease.ValidUntil})
+	reply := d.send(ctx, f, now.target, now.class, &sendAs{term: now.lease.Term, notAfter: now.lease.ValidUntil})
+	if reply.Code == result.DeadlineMissed && d.isCold(now.target) {
+		// The target still runs the attempt until the cancellation arrives.
+		release = func() { time.AfterFunc(lateRelease, places.release) }
+	}
+	return reply
 }
