--- a/internal/target/http.go
+++ b/internal/target/http.go
@@ -40,6 +40,8 @@
 	DialTimeout time.Duration
 	// IdleTimeout is how long an unused connection is kept; 0 means 30 s.
 	IdleTimeout time.Duration
+	// Dial opens connections; nil means TCP. Tests set it to run without sockets.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mutex   sync.Mutex
 	pools   map[poolKey]*pool
@@ -69,8 +71,8 @@
 	return reply, err
 }
 
-// Do runs one attempt, as Client describes. When ctx or the timeout ends after the request was written, it asks the
-// target to cancel the attempt and returns ErrTimeout without waiting for that.
+// Do runs one attempt, as Client describes. When ctx or the timeout ends after the request was written, it returns
+// ErrTimeout without waiting for the cancellation.
 func (c *HTTPClient) Do(ctx context.Context, address Address, attempt Request) (Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, attempt.Timeout)
 	defer cancel()
@@ -81,7 +83,7 @@
 	matches := func(received answer) bool { return received.header.Get(HeaderAttempt) == attempt.Attempt }
 	received, err := c.send(ctx, laneRequest, address, request, false, matches)
 	if err != nil {
-		if errorx.IsOfType(err, ErrTimeout) {
+		if errorx.IsOfType(err, ErrTimeout) && !attempt.NoCancel {
 			c.cancelAttempt(address, attempt.Attempt)
 		}
 		return Response{}, err
@@ -122,7 +124,7 @@
 	if err != nil {
 		return answer{}, err
 	}
-	conn, err := connections.get(ctx, c.dialer(), address, orDefault(c.IdleTimeout, defaultIdleTimeout), fresh)
+	conn, err := connections.get(ctx, c.dial(), address, orDefault(c.IdleTimeout, defaultIdleTimeout), fresh)
 	if err != nil {
 		return answer{}, ErrNotSent.Wrap(err, "no connection to target %s", address)
 	}
@@ -210,8 +212,11 @@
 	}
 }
 
-func (c *HTTPClient) dialer() *net.Dialer {
-	return newDialer(orDefault(c.DialTimeout, defaultDialTimeout))
+func (c *HTTPClient) dial() dialFunc {
+	if c.Dial != nil {
+		return c.Dial
+	}
+	return newDialer(orDefault(c.DialTimeout, defaultDialTimeout)).DialContext
 }
 
 func orDefault[T int64 | time.Duration](value, fallback T) T {
