--- a/internal/proof/failover_test.go
+++ b/internal/proof/failover_test.go
@@ -61,7 +61,7 @@
 		w.log.up = false
 		w.runFor(logDownNoticed, o.check)
 		all := w.actions(t, o.check)
-		actions := map[string]func(*rapid.T){"": func(*rapid.T) { o.checkStates() }}
+		actions := map[string]func(*rapid.T){"": o.afterStep}
 		for _, name := range []string{
 			"pass", "killTarget", "startTarget", "freezeTarget", "thawTarget", "killVM", "restartVM", "pauseVM", "resumeVM",
 			"pauseTwoVMs", "cutOneWay", "healNetwork", "dropMessages", "logUp", "freezeAndKill", "loseAnswers",
