Report no stop timeout when no request is running

Cause: lifecycle.wait selected between an idle dispatcher and an ended context, and the choice is random if both are ready. The new test fails before (within 100 calls) and passes after: go test -race -run Stop ./internal/dispatch.

--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -334,6 +334,22 @@
 	})
 }
 
+// A stop without running requests must not report a timeout because its context has ended already.
+func TestStopAfterItsContextEnded(t *testing.T) {
+	ended, cancel := context.WithCancel(ctx)
+	cancel()
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil)
+		for range 100 {
+			require.NoError(t, r.Stop(ended))
+		}
+	})
+	busy := lifecycle{limit: 1, idle: make(chan struct{})}
+	require.Equal(t, entered, busy.enter())
+	busy.stop()
+	require.ErrorIs(t, busy.wait(ended), context.Canceled)
+}
+
 // The lessor's table may be lost between two attempts, so the receiver itself must not send a second one.
 func TestUnknownForwardOfNonIdempotentIsNotRepeated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/dispatch/lifecycle.go
+++ b/internal/dispatch/lifecycle.go
@@ -82,6 +82,12 @@
 	case <-l.idle:
 		return nil
 	case <-ctx.Done():
+	}
+	// If both were ready, the choice above was random.
+	select {
+	case <-l.idle:
+		return nil
+	default:
 		return ctx.Err()
 	}
 }
