Dial a peer at once when it connects, and report a refused key on both sides

Cause: a VM that is listed before it listens was dialled with a back-off of up to 1 s, so messages to it were lost for that long after it joined. An authenticated connection from a peer now ends the wait of the dial to it. That holds only after a failed dial: two VMs that close each other's connections at once would otherwise dial without a pause. A dialler that refused the acceptor's key only closed the connection, so the acceptor logged an ordinary end. It now sends a proof without a MAC, which is void, so both sides log 701. Ruled out: the closing handshake of WebSocket, which can hold a dial for 5 s.

The new assertions wait for the event on both sides; with a back-off of 1 h TestAcceptedConnectionMakesTheDialDue has no other way to connect. go test -race -count=2 ./internal/peer passes (12.8 s); go test ./internal/logging passes.

--- a/internal/peer/acceptor.go
+++ b/internal/peer/acceptor.go
@@ -19,8 +19,10 @@
 
 // acceptor serves the connections that peers dial. They only receive.
 type acceptor struct {
-	settings   *Settings
-	handler    Handler
+	settings *Settings
+	handler  Handler
+	// accepted is called for each authenticated connection. It must not block.
+	accepted   func(from model.VMID)
 	connected  chan struct{}
 	handshakes chan struct{}
 
@@ -40,10 +42,11 @@
 	done chan struct{}
 }
 
-func newAcceptor(settings *Settings, handler Handler) *acceptor {
+func newAcceptor(settings *Settings, handler Handler, accepted func(from model.VMID)) *acceptor {
 	return &acceptor{
 		settings:   settings,
 		handler:    handler,
+		accepted:   accepted,
 		connected:  make(chan struct{}, settings.MaxInbound),
 		handshakes: make(chan struct{}, settings.MaxHandshakes),
 		inbound:    map[model.VMID]*inbound{},
@@ -80,6 +83,7 @@
 	<-a.handshakes
 	if err == nil {
 		a.settings.Count(Accepted)
+		a.accepted(in.from)
 		err = a.read(ctx, in, silence)
 	}
 	a.finish(ctx, in, err)
--- a/internal/peer/faults.go
+++ b/internal/peer/faults.go
@@ -16,15 +16,15 @@
 	switch {
 	case isType(err, ErrUnauthenticated):
 		settings.Count(Unauthenticated)
-		settings.Log.Warn("connection refused: authentication failed", append(fields, logging.Code(result.PeerUnauthenticated))...)
+		settings.Log.Warn("The authentication of a connection failed.", append(fields, logging.Code(result.PeerUnauthenticated))...)
 	case isType(err, ErrMalformed):
 		settings.Count(Malformed)
-		settings.Log.Warn("connection closed: malformed message", append(fields, logging.Code(result.PeerMalformed))...)
+		settings.Log.Warn("A connection was closed after a malformed message.", append(fields, logging.Code(result.PeerMalformed))...)
 	case isType(err, ErrSilent):
 		settings.Count(Silent)
-		settings.Log.Warn("connection closed: silent", append(fields, logging.Code(result.PeerUnavailable))...)
+		settings.Log.Warn("A silent connection was closed.", append(fields, logging.Code(result.PeerUnavailable))...)
 	default:
-		settings.Log.Info("connection ended", append(fields, logging.Code(result.PeerUnavailable))...)
+		settings.Log.Info("A connection ended.", append(fields, logging.Code(result.PeerUnavailable))...)
 	}
 }
 
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -20,6 +20,9 @@
 //	dialler -> acceptor  proof:     MAC of the dialler
 //	acceptor -> dialler  welcome:   MAC under the key of the connection
 //
+// A side that refuses the other tells it: the dialler with a proof without a MAC, the acceptor by closing the connection with
+// the status "policy violation".
+//
 // Each MAC covers its direction, the version, both VM IDs and both nonces, so that it is void on any other connection and
 // cannot be reflected. A holder of a shared key can claim any VM ID: keys authenticate the deployment, not one VM.
 const (
@@ -148,6 +151,8 @@
 	state.acceptorNonce = answer.Nonce
 	acceptorKey, valid := state.verify(keys, purposeChallenge, answer.MAC)
 	if !valid || len(answer.Nonce) != nonceBytes {
+		// The proof without a MAC is void and lets the accepting side report the failure too.
+		_ = sendPart(ctx, conn, proof{})
 		return nil, ErrUnauthenticated.New("the accepting side holds no current key")
 	}
 	if err := sendPart(ctx, conn, proof{MAC: state.mac(keys[0], purposeProof)}); err != nil {
@@ -187,6 +192,9 @@
 	if err := receivePart(ctx, conn, &last); err != nil {
 		return "", nil, err
 	}
+	if len(last.MAC) == 0 {
+		return "", nil, ErrUnauthenticated.New("the dialling side refused the handshake")
+	}
 	diallerKey, valid := state.verify(keys, purposeProof, last.MAC)
 	if !valid {
 		return "", nil, ErrUnauthenticated.New("the dialling side holds no current key")
--- a/internal/peer/helpers_test.go
+++ b/internal/peer/helpers_test.go
@@ -39,16 +39,21 @@
 }
 
 func startFiltered(t *testing.T, self model.VMID, filter func(from, to model.VMID, m message.Message) bool, keys ...[]byte) *node {
+	t.Helper()
+	return startWith(t, Settings{Self: self, Listen: "127.0.0.1:0", Keys: keys, BackoffMin: time.Millisecond,
+		BackoffMax: 10 * time.Millisecond, PingInterval: 20 * time.Millisecond}, filter)
+}
+
+func startWith(t *testing.T, settings Settings, filter func(from, to model.VMID, m message.Message) bool) *node {
 	t.Helper()
 	n := &node{received: make(chan delivery, 1024), events: make(chan Event, 1024)}
-	transport, err := New(Settings{Self: self, Listen: "127.0.0.1:0", Keys: keys, BackoffMin: time.Millisecond,
-		BackoffMax: 10 * time.Millisecond, PingInterval: 20 * time.Millisecond,
-		Count: func(e Event) {
-			select {
-			case n.events <- e:
-			default:
-			}
-		}})
+	settings.Count = func(e Event) {
+		select {
+		case n.events <- e:
+		default:
+		}
+	}
+	transport, err := New(settings)
 	require.NoError(t, err)
 	n.WebSocket = transport
 	n.Filter = filter
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -30,6 +30,8 @@
 	dials  chan struct{}
 	client *http.Client
 	cancel context.CancelFunc
+	// woken holds a token when the peer has connected to this VM.
+	woken chan struct{}
 	// ended is closed when run has returned.
 	ended chan struct{}
 
@@ -58,22 +60,41 @@
 func (l *link) run(ctx context.Context) {
 	wait := backoff{shortest: l.settings.BackoffMin, longest: l.settings.BackoffMax}
 	for ctx.Err() == nil && !l.isStopping() {
+		l.forgetWake()
 		s, err := l.connect(ctx)
 		if err != nil {
 			l.reportDial(ctx, err)
-		} else {
-			connected := time.Now()
-			l.report(ctx, l.runSession(ctx, s))
-			// A connection that the peer closes at once, such as for malformed messages, must not be dialled again without delay.
-			if time.Since(connected) >= l.settings.BackoffMax {
-				wait.reset()
-			}
+			l.pause(ctx, wait.next(), l.woken)
+			continue
 		}
-		l.pause(ctx, wait.next())
+		connected := time.Now()
+		l.report(ctx, l.runSession(ctx, s))
+		// A connection that the peer closes at once, such as for malformed messages, must not be dialled again without delay.
+		if time.Since(connected) >= l.settings.BackoffMax {
+			wait.reset()
+		}
+		// Two VMs that close each other's connections at once would dial without a pause if an accepted connection ended it.
+		l.pause(ctx, wait.next(), nil)
+	}
+}
+
+// wake makes a dial that waits after a failure due at once, because the peer is known to run.
+func (l *link) wake() {
+	select {
+	case l.woken <- struct{}{}:
+	default:
+	}
+}
+
+func (l *link) forgetWake() {
+	select {
+	case <-l.woken:
+	default:
 	}
 }
 
-func (l *link) pause(ctx context.Context, length time.Duration) {
+// pause returns after length, or when ctx ends or woken receives.
+func (l *link) pause(ctx context.Context, length time.Duration, woken <-chan struct{}) {
 	if l.isStopping() {
 		return
 	}
@@ -82,6 +103,7 @@
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
+	case <-woken:
 	}
 }
 
@@ -118,7 +140,7 @@
 	}
 	l.mu.Unlock()
 	l.settings.Count(Connected)
-	l.settings.Log.Info("connected", logging.VM(l.peer))
+	l.settings.Log.Info("Connected to a peer.", logging.VM(l.peer))
 	err := s.run(ctx)
 	l.mu.Lock()
 	l.session = nil
--- a/internal/peer/websocket.go
+++ b/internal/peer/websocket.go
@@ -108,7 +108,7 @@
 func (w *WebSocket) Address() string { return w.listener.Addr().String() }
 
 func (w *WebSocket) serve(ctx context.Context) {
-	accepting := newAcceptor(&w.settings, w.handler)
+	accepting := newAcceptor(&w.settings, w.handler, w.wake)
 	mux := http.NewServeMux()
 	mux.HandleFunc(peerPath, func(rw http.ResponseWriter, r *http.Request) {
 		if !w.beginConnection(ctx) {
@@ -182,7 +182,7 @@
 func (w *WebSocket) startLink(id model.VMID, address string) *link {
 	ctx, cancel := context.WithCancel(w.ctx)
 	l := &link{peer: id, address: address, settings: &w.settings, dials: w.dials, client: w.client, cancel: cancel,
-		ended: make(chan struct{})}
+		woken: make(chan struct{}, 1), ended: make(chan struct{})}
 	w.running.Add(1)
 	go func() {
 		defer w.running.Done()
@@ -214,11 +214,21 @@
 	err = s.queue.push(priorityOf(outgoing), waiting)
 	if isType(err, errQueueFull) {
 		w.settings.Count(QueueFull)
-		w.settings.Log.Warn("queue full", faultFields(to, err)...)
+		w.settings.Log.Warn("The queue of a peer is full.", faultFields(to, err)...)
 	}
 	return err
 }
 
+// wake makes the dial of a peer that has connected to this VM due at once.
+func (w *WebSocket) wake(id model.VMID) {
+	w.mu.Lock()
+	l := w.links[id]
+	w.mu.Unlock()
+	if l != nil {
+		l.wake()
+	}
+}
+
 func (w *WebSocket) session(to model.VMID) *session {
 	w.mu.Lock()
 	l := w.links[to]
--- a/internal/peer/websocket_test.go
+++ b/internal/peer/websocket_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/coder/websocket"
 	"github.com/stretchr/testify/require"
@@ -35,14 +36,34 @@
 	b := startNode(t, "b", testKey(2))
 	a.SetPeers(map[model.VMID]string{"b": b.Address()})
 	a.await(t, Unauthenticated)
+	b.await(t, Unauthenticated)
 	require.True(t, isType(a.Send("b", heartbeat(1)), ErrUnavailable))
 }
 
+// A VM that is listed before it listens must not miss messages until a long back-off ends: its own connection shows that it
+// can be dialled.
+func TestAcceptedConnectionMakesTheDialDue(t *testing.T) {
+	reserved, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	late := reserved.Addr().String()
+	require.NoError(t, reserved.Close())
+	slow := Settings{Self: "a", Listen: "127.0.0.1:0", Keys: [][]byte{testKey(1)}, BackoffMin: time.Hour, BackoffMax: time.Hour}
+	a := startWith(t, slow, nil)
+	a.SetPeers(map[model.VMID]string{"b": late})
+	a.await(t, DialFailed)
+	b := startWith(t, Settings{Self: "b", Listen: late, Keys: [][]byte{testKey(1)}}, nil)
+	b.SetPeers(map[model.VMID]string{"a": a.Address()})
+	a.await(t, Connected)
+	require.NoError(t, a.Send("b", heartbeat(1)))
+	require.Equal(t, heartbeat(1), b.next(t).m)
+}
+
 // A connection that reached another VM than the one meant, for instance after an address was reused, must be refused.
 func TestWrongVMIsRefused(t *testing.T) {
 	a := startNode(t, "a", testKey(1))
 	b := startNode(t, "b", testKey(1))
 	a.SetPeers(map[model.VMID]string{"c": b.Address()})
+	a.await(t, Unauthenticated)
 	b.await(t, Unauthenticated)
 }
 
