Do not collect the slots of every target in every step

Cause: since overrides came, takeOver collected and sorted the slots of each target in each step only to see whether there are any. needsRescue answers the same from the counts, and looks at the slots only while there are at least as many overrides as the target has slots; the decisions are the same. The benchmark rig answers SyncQuery, names synchronized cells in heartbeats and beats every 250 ms, as processes do; without that no target had a lessor.

The old cost remains for targets with no more slots than there are overrides, during an outage of the log.

--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -30,6 +30,7 @@
 const (
 	benchServices    = 8
 	benchIncarnation = model.Incarnation(1 << 62)
+	heartbeatTicks   = int(cell.HeartbeatInterval / TickInterval)
 )
 
 func (s benchSize) vm(i int) model.VMID         { return model.VMID(fmt.Sprintf("entry-%05d", i)) }
@@ -138,6 +139,7 @@
 			r.step(r.answer(e))
 		case Send:
 			r.count(e.Message)
+			r.answerSync(e)
 		}
 	}
 }
@@ -149,6 +151,14 @@
 	}}
 }
 
+// answerSync says that a member of the cell knows no overrides, so that the node may act as a lessor.
+func (r *benchRig) answerSync(sent Send) {
+	if query := sent.Message.SyncQuery; query != nil {
+		reply := message.SyncReply{Cell: query.Cell, CellEpoch: query.CellEpoch}
+		r.node.handle(PeerMessage{From: sent.To, Message: message.Message{SyncReply: &reply}})
+	}
+}
+
 func (r *benchRig) count(sent message.Message) {
 	if !r.counting {
 		return
@@ -170,6 +180,7 @@
 		}
 		played := message.Message{Heartbeat: &message.Heartbeat{
 			Incarnation: 1, ConfigOffset: 1, AssignOffset: r.node.assign.Offset(), Zone: r.size.zone(i),
+			Synced: []model.Zone{r.size.zone(i)},
 		}}
 		if statuses {
 			played = message.Message{StatusUpdate: r.update(vm)}
@@ -191,7 +202,7 @@
 func (r *benchRig) second() {
 	r.hear(true)
 	for tick := range int(time.Second / TickInterval) {
-		if tick%12 == 0 {
+		if tick%heartbeatTicks == 0 {
 			r.hear(false)
 		}
 		r.now = r.now.Add(TickInterval)
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -191,7 +191,7 @@
 	if incarnation == 0 || incarnation == registered {
 		return
 	}
-	if len(n.slotsToRescue(state.id)) > 0 && n.now.Sub(firstSeen) < lease.Bound {
+	if n.needsRescue(state.id) && n.now.Sub(firstSeen) < lease.Bound {
 		return
 	}
 	zone := state.config.Zone
--- a/internal/control/records.go
+++ b/internal/control/records.go
@@ -165,7 +165,7 @@
 
 // releaseIfEmptied ends a takeover, and a stop stated for it, once the target owns no slots any more.
 func (n *Node) releaseIfEmptied(state *targetState) {
-	if len(n.slotsToRescue(state.id)) > 0 {
+	if n.needsRescue(state.id) {
 		return
 	}
 	if state.takeover != nil || state.stopFor != nil {
--- a/internal/control/takeover.go
+++ b/internal/control/takeover.go
@@ -57,7 +57,7 @@
 		if !state.acting && !n.outbox.has(takeoverPurpose(id)) {
 			n.release(state)
 		}
-		if len(n.slotsToRescue(id)) == 0 {
+		if !n.needsRescue(id) {
 			continue
 		}
 		if n.logUp && n.takeOverGone(state) || !state.acting {
