Let the load model fail over inside the zone while the log is down

Cause: the product fails slots of a lost target over inside its cell while the log is down; the load model left them down for the rest of the outage. It also stopped to average the rates of slots, so the first plan after the outage saw the requests of 150 s as those of one interval and took every slot for hot. The baseline still waits for the log.

--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/placement"
 )
 
 func short() []Scenario {
@@ -53,3 +56,27 @@
 	require.InDelta(t, 16.5+16.7, runs[0].P50, 1.5)
 	require.InDelta(t, 1.0, runs[0].InTimePercent/100, 0.001)
 }
+
+// Guards against slots that stay without an owner while the log is down, against a failover out of the zone, and against a
+// baseline that no longer waits for the log.
+func TestFailoverInsideTheZoneWithoutLog(t *testing.T) {
+	faults := []Fault{setLog(time.Second, true), lose(2 * time.Second)}
+	for _, stack := range []Stack{Policy(), Baseline()} {
+		s, err := newSim(Granite(), stack, 1)
+		require.NoError(t, err)
+		l := s.loads[1]
+		lost := l.servers[1].route
+		s.run(Scenario{"before", 1500 * time.Millisecond, faults})
+		before := append([]placement.Slot(nil), l.slots...)
+		s.runUntil(model.Instant(10 * time.Second))
+		for i := range before {
+			owner := l.slots[i].Owner
+			if !stack.Overrides || before[i].Owner != lost.ID {
+				require.Equal(t, before[i].Owner, owner)
+				continue
+			}
+			require.NotEqual(t, lost.ID, owner)
+			require.Equal(t, lost.Zone, l.byID[owner].route.Zone)
+		}
+	}
+}
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -98,10 +98,48 @@
 
 // plan runs the stack's placement and carries out its moves.
 func (l *load) plan(first bool) {
-	input := placement.Input{Class: model.AnyRegion, Slots: l.slots, ImbalancePercent: imbalancePercent}
+	input := l.input(first)
 	if !first {
 		input.MaxMoves = movesPerPlan
 	}
+	l.carryOut(l.sim.stack.Plan(input), first)
+}
+
+// planWithoutLog does what the planner can do while the log is down. Rates still arrive, because entry VMs report them to
+// each other. A stack with overrides moves the slots of lost targets inside their zones; planned moves wait.
+func (l *load) planWithoutLog() {
+	input := l.input(false)
+	if !l.sim.stack.Overrides {
+		return
+	}
+	for _, s := range l.servers {
+		if s.free {
+			l.failOver(s, input)
+		}
+	}
+}
+
+// failOver moves the slots of a lost server to servers of its zone, as an override does.
+func (l *load) failOver(lost *server, input placement.Input) {
+	targets := append([]placement.Target(nil), input.Targets...)
+	for i := range targets {
+		candidate := l.byID[targets[i].ID]
+		targets[i].Alive = candidate.alive && candidate.route.Zone == lost.route.Zone
+	}
+	input.Targets = targets
+	input.Slots = l.slots
+	var moves []placement.Move
+	for _, move := range l.sim.stack.Plan(input) {
+		if move.From == lost.route.ID {
+			moves = append(moves, move)
+		}
+	}
+	l.carryOut(moves, false)
+}
+
+// input describes the slots and targets to the placement.
+func (l *load) input(first bool) placement.Input {
+	input := placement.Input{Class: model.AnyRegion, Slots: l.slots, ImbalancePercent: imbalancePercent}
 	if l.sim.stack.HotRates && !first {
 		input.BaseRate = l.setRates(input.Slots)
 	}
@@ -111,7 +149,11 @@
 			Alive: s.alive || !s.free, Weight: l.weight(s, first),
 		})
 	}
-	moves := l.sim.stack.Plan(input)
+	return input
+}
+
+// carryOut gives the slots their new owners, which serve them after moveTime. Moves of the first plan cost nothing.
+func (l *load) carryOut(moves []placement.Move, first bool) {
 	l.slots = placement.Apply(l.slots, moves)
 	if first {
 		return
--- a/internal/bench/sim.go
+++ b/internal/bench/sim.go
@@ -136,7 +136,11 @@
 	}
 	s.every(planEvery, func() {
 		for _, l := range s.loads {
-			if l.spec.Keyed && !s.logDown {
+			switch {
+			case !l.spec.Keyed:
+			case s.logDown:
+				l.planWithoutLog()
+			default:
 				l.plan(false)
 			}
 		}
--- a/internal/bench/stack.go
+++ b/internal/bench/stack.go
@@ -32,6 +32,8 @@
 	ColdWeight bool
 	// SlowWeight lets targets that the lessor sees as slow keep fewer slots.
 	SlowWeight bool
+	// Overrides lets slots of lost targets fail over inside their zone while the log is down.
+	Overrides bool
 	// HotRates tells the placement the request rates of hot slots.
 	HotRates bool
 	Queue    QueueAt
@@ -49,7 +51,7 @@
 // Policy returns the policies in use.
 func Policy() Stack {
 	return Stack{Name: "policy", Plan: placement.Plan, Balance: balance.P2CID, Budgeted: true, ColdRule: true,
-		ColdWeight: true, HotRates: true, Queue: QueueAtTarget}
+		ColdWeight: true, Overrides: true, HotRates: true, Queue: QueueAtTarget}
 }
 
 // Variants returns Policy with one choice changed each.
@@ -70,6 +72,7 @@
 	}
 	add("counts-100ms-no-reports", func(s *Stack) { s.CountEvery, s.NoReports = 100*time.Millisecond, true })
 	add("counts-100ms-queue-at-entry", func(s *Stack) { s.CountEvery, s.Queue = 100*time.Millisecond, QueueAtEntry })
+	add("no-overrides", func(s *Stack) { s.Overrides = false })
 	add("no-cold-weight", func(s *Stack) { s.ColdWeight = false })
 	add("no-hot-rates", func(s *Stack) { s.HotRates = false })
 	add("slow-weight", func(s *Stack) { s.SlowWeight = true })
