Add the rule slow_target_weight

Cause: fewer slots for slow targets gain time in deadline for more moves; the deployments weigh the two differently, so operators decide (default: off). The lessor's share of a target comes with the renewal's end and goes out with the status (cbor key 10), without a message or a route change of its own. Ruled out: shares of all entry VMs (more messages; the load model also uses the lessor's only). Members that run an older version send no share, which means normal.

--- a/internal/bench/deployment.go
+++ b/internal/bench/deployment.go
@@ -34,7 +34,9 @@
 	HashSlots int
 	// Utilization is the share of all targets' capacity that the load needs.
 	Utilization float64
-	Services    []Service
+	// HotKeyRate is the rule hot_key_rate of the deployment's example, in requests a second.
+	HotKeyRate float64
+	Services   []Service
 }
 
 // Granite returns Granite Ledger's deployment. Work and utilization are assumptions.
@@ -43,7 +45,7 @@
 		Name: "granite",
 		Zones: []Zone{{"seacoast-a", "nh-seacoast"}, {"seacoast-b", "nh-seacoast"},
 			{"worcester-a", "mass-central"}, {"worcester-b", "mass-central"}},
-		EntryVMs: 11, Concurrency: 4, HashSlots: 256, Utilization: 0.5,
+		EntryVMs: 11, Concurrency: 4, HashSlots: 256, Utilization: 0.5, HotKeyRate: 50,
 		Services: []Service{
 			{Name: "alert-desk", Instances: 20, Work: 20 * time.Millisecond, Deadline: 500 * time.Millisecond},
 			{Name: "draft-review", Keyed: true, Instances: 12, Work: 40 * time.Millisecond, Deadline: time.Second},
@@ -57,7 +59,7 @@
 		Name: "skyframe",
 		Zones: []Zone{{"coast-a", "coast"}, {"coast-b", "coast"},
 			{"interior-a", "interior"}, {"interior-b", "interior"}},
-		EntryVMs: 10, Concurrency: 2, HashSlots: 256, Utilization: 0.5,
+		EntryVMs: 10, Concurrency: 2, HashSlots: 256, Utilization: 0.5, HotKeyRate: 30,
 		Services: []Service{
 			{Name: "forecast-svc", Instances: 17, Work: 15 * time.Millisecond, Deadline: 500 * time.Millisecond},
 			{Name: "media-svc", Keyed: true, Instances: 13, Work: 40 * time.Millisecond, Deadline: time.Second},
@@ -83,9 +85,10 @@
 	moveTime = 60 * time.Millisecond
 	// configDelay is when entry VMs act on a published change.
 	configDelay = time.Second
-	// planEvery is the interval of the planner; movesPerPlan bounds its moves.
+	// planEvery is the interval of the planner; movesPerPlan bounds its moves
+	// as control.maxPlannedMoves does.
 	planEvery    = 500 * time.Millisecond
-	movesPerPlan = 32
+	movesPerPlan = 64
 	// coldStart is the length of the ramp, coldInitial the concurrency at its start.
 	coldStart   = 20 * time.Second
 	coldInitial = 1
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -180,12 +180,15 @@
 // setRates updates the moving averages, gives hot slots their rates and returns the mean rate of the others.
 func (l *load) setRates(slots []placement.Slot) (base float64) {
 	others := 0
-	mean := l.rate() / float64(len(slots))
+	hot := hotRatio * l.rate() / float64(len(slots))
+	if l.sim.stack.HotKeyRule {
+		hot = l.sim.deployment.HotKeyRate
+	}
 	for i := range slots {
 		l.rates[i] += rateGain * (float64(l.requests[i])/planEvery.Seconds() - l.rates[i])
 		l.requests[i] = 0
 		slots[i].Rate = 0
-		if l.rates[i] > hotRatio*mean {
+		if l.rates[i] > hot {
 			slots[i].Rate = l.rates[i]
 			continue
 		}
--- a/internal/bench/stack.go
+++ b/internal/bench/stack.go
@@ -36,7 +36,9 @@
 	Overrides bool
 	// HotRates tells the placement the request rates of hot slots.
 	HotRates bool
-	Queue    QueueAt
+	// HotKeyRule takes slots for hot from the deployment's HotKeyRate on, instead of a ratio to the mean rate.
+	HotKeyRule bool
+	Queue      QueueAt
 	// CountEvery is the interval at which VMs of a zone share their counts of running requests; 0 means never.
 	CountEvery time.Duration
 	// NoReports ignores the targets' load reports.
@@ -75,6 +77,7 @@
 	add("no-overrides", func(s *Stack) { s.Overrides = false })
 	add("no-cold-weight", func(s *Stack) { s.ColdWeight = false })
 	add("no-hot-rates", func(s *Stack) { s.HotRates = false })
+	add("hot-key-rule", func(s *Stack) { s.HotKeyRule = true })
 	add("slow-weight", func(s *Stack) { s.SlowWeight = true })
 	add("round-robin", func(s *Stack) { s.Balance = balance.RoundRobinID })
 	add("no-budget-no-hedge", func(s *Stack) { s.Budgeted = false })
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -97,6 +97,8 @@
 	Balance string `yaml:"balance" cbor:"8,keyasint"`
 	// HotKeyRate is the rate, in requests a second, from which a key gets a slot of its own; 0 turns that off.
 	HotKeyRate float64 `yaml:"hot_key_rate" cbor:"9,keyasint"`
+	// SlowTargetWeight lets targets that their lessor sees as slow or failing keep fewer slots, for more moves of slots.
+	SlowTargetWeight bool `yaml:"slow_target_weight" cbor:"10,keyasint,omitempty"`
 }
 
 // DefaultRules returns the rules in force when operators publish none.
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -43,6 +43,8 @@
 	Target   model.TargetID
 	Sequence uint64
 	Reply    *target.RenewReply
+	// Withheld is the part of its normal requests that this VM keeps from the target, in percent.
+	Withheld int
 }
 
 // RevokeDone brings the end of a revocation. Reply is nil if it failed.
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -28,6 +28,8 @@
 	acting bool
 	term   model.Term
 	silent bool
+	// withheld is the part of its normal requests that this VM keeps from the target, in percent.
+	withheld int
 
 	// ranked are the members of the cell rankedFor by rank at its epoch rankedAt.
 	ranked    []model.VMID
@@ -275,6 +277,7 @@
 		n.noteSilence(state)
 		return
 	}
+	state.withheld = done.Withheld
 	changed := state.keeper.Answered(n.now, done.Sequence, *done.Reply)
 	if state.silent {
 		state.silent = false
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -24,6 +24,10 @@
 	// maxPlannedMoves limits the moves of one plan for one service and class, so that a rebalancing does not put many slots
 	// into hand-over at the same time.
 	maxPlannedMoves = 64
+	// minSlowWeight is the least weight of a slow target. It keeps some slots, because a lessor that sends it nothing never
+	// learns that it recovered.
+	minSlowWeight = 0.25
+	percent       = 100
 )
 
 // plan assigns slots without an owner and asks lessors to move slots that should be elsewhere.
@@ -206,7 +210,7 @@
 		InService:  n.isInService(state, configured),
 		Draining:   configured.Drain || (status != nil && status.Draining),
 		Alive:      status != nil && status.Serving,
-		Weight:     n.coldWeight(state, configured, status),
+		Weight:     n.coldWeight(state, configured, status) * slowWeight(state.Rules, status),
 		OtherSlots: n.assign.state.OwnedCount(configured.ID),
 	}
 }
@@ -220,6 +224,14 @@
 	return float64(max(1, status.Limit)) / float64(concurrency)
 }
 
+// slowWeight returns the part of a full share of slots that a slow or failing target keeps.
+func slowWeight(rules config.Rules, status *route.Status) float64 {
+	if !rules.SlowTargetWeight || status == nil {
+		return 1
+	}
+	return max(minSlowWeight, 1-float64(status.Withheld)/percent)
+}
+
 // pins returns the declared target of each key of a service and class that has a slot of its own.
 func (n *Node) pins(state config.State, service model.Service, class model.Class) map[model.Slot]model.TargetID {
 	pins := map[model.Slot]model.TargetID{}
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -67,10 +67,11 @@
 	return received.Sequence > known.Sequence || received.Lessor != known.Lessor
 }
 
-// sameCondition reports whether two statuses lead to the same routing.
+// sameCondition reports whether two statuses lead to the same routing. Withheld counts only for placement.
 func sameCondition(a, b route.Status) bool {
 	a.Sequence = b.Sequence
 	a.Term = b.Term
+	a.Withheld = b.Withheld
 	return a == b
 }
 
@@ -121,5 +122,6 @@
 		Limit:       state.ramp.limit(n.now, service),
 		Load:        reply.Load,
 		Lessor:      n.settings.VM,
+		Withheld:    state.withheld,
 	}
 }
--- a/internal/entry/effects.go
+++ b/internal/entry/effects.go
@@ -10,6 +10,7 @@
 	"github.com/tarragonpoint/tarragonpoint/internal/control"
 	"github.com/tarragonpoint/tarragonpoint/internal/lease"
 	"github.com/tarragonpoint/tarragonpoint/internal/logging"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
 	"github.com/tarragonpoint/tarragonpoint/internal/peer"
 	"github.com/tarragonpoint/tarragonpoint/internal/record"
 	"github.com/tarragonpoint/tarragonpoint/internal/target"
@@ -27,8 +28,10 @@
 	peer      peer.Transport
 	metrics   *telemetry.Metrics
 	log       *logging.Logger
-	post      func(ctx context.Context, event control.Event)
-	running   sync.WaitGroup
+	// withheld returns the part of its normal requests that this VM keeps from a target, in percent.
+	withheld func(id model.TargetID) int
+	post     func(ctx context.Context, event control.Event)
+	running  sync.WaitGroup
 }
 
 func (e *effects) carryOut(ctx context.Context, effect control.Effect) {
@@ -73,7 +76,7 @@
 func (e *effects) renew(ctx context.Context, asked control.Renew) {
 	limited, cancel := context.WithTimeout(ctx, lease.RenewTimeout)
 	defer cancel()
-	done := control.RenewDone{Target: asked.Target, Sequence: asked.Sequence}
+	done := control.RenewDone{Target: asked.Target, Sequence: asked.Sequence, Withheld: e.withheld(asked.Target)}
 	reply, err := e.target.Renew(limited, asked.Address, asked.Request, asked.Fresh)
 	switch {
 	case err != nil:
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -95,6 +95,7 @@
 		peer:      adapters.peer,
 		metrics:   e.metrics,
 		log:       log.Part(logging.Control),
+		withheld:  e.withheld,
 		post:      e.loop.post,
 	}
 	adapters.peer.SetHandler(e.onPeerMessage)
@@ -184,6 +185,15 @@
 	return ""
 }
 
+// withheld returns the part of its normal requests that this VM keeps from a target, in percent.
+func (e *entry) withheld(id model.TargetID) int {
+	known := e.policies.service(e.serviceOf(id))
+	if known == nil {
+		return 0
+	}
+	return int(100 * (1 - known.tracker.Share(e.clock.Now(), id)))
+}
+
 // publish takes a new routing table from the control loop.
 func (e *entry) publish(table *route.Table, state config.State) {
 	e.policies.update(table, state)
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -34,6 +34,9 @@
 	Load int `cbor:"8,keyasint"`
 	// Lessor is the entry VM that sent the status.
 	Lessor model.VMID `cbor:"9,keyasint"`
+	// Withheld is the part of its normal requests that the lessor keeps from the target because it is slow or fails, in
+	// percent; 0 is normal.
+	Withheld int `cbor:"10,keyasint,omitempty"`
 }
 
 // Target is a target as the request path sees it.
