--- a/internal/control/status_test.go
+++ b/internal/control/status_test.go
@@ -15,7 +15,8 @@
 func TestChangesDoNotPutOffFullRounds(t *testing.T) {
 	n := NewNode(Settings{VM: "a"})
 	n.knownPeers["b"] = "127.0.0.1:1"
-	for _, id := range []model.TargetID{"busy", "quiet"} {
+	n.targetIDs = []model.TargetID{"busy", "quiet"}
+	for _, id := range n.targetIDs {
 		n.targets[id] = &targetState{id: id, keeper: lease.NewKeeper("a"), acting: true}
 	}
 	const step = 100 * time.Millisecond
