--- /dev/null
+++ b/internal/control/override_test.go
@@ -0,0 +1,88 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/lease"
+	"github.com/tarragonpoint/tarragonpoint/internal/message"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/record"
+)
+
+// overrideTo is a committed override of slot 0 that "b" proposed.
+func overrideTo(to model.TargetID) message.Override {
+	id := message.OverrideID{Proposer: "b", Sequence: 1}
+	return message.Override{ID: id, Slot: rigSlot(0), Base: rigBase, To: to, Committed: true}
+}
+
+// Guards against an override that is in force although a member has not accepted it: that member may have a record under
+// way that gives the slot to another target.
+func TestOverrideNeedsAllAccepts(t *testing.T) {
+	r := newRig(t, "a")
+	r.run(3 * time.Second)
+	r.logDown = true
+	r.run(logSilence)
+	r.silent[r.first] = true
+	r.run(2 * lease.Bound)
+	r.state("b")
+	r.run(2 * lease.Bound)
+	prepare := last(r, "b", func(m message.Message) *message.OverridePrepare { return m.OverridePrepare })
+	require.NotNil(t, prepare)
+	require.Empty(t, r.node.ownerOf(rigSlot(0)), "nobody is granted the slot before all have accepted")
+	r.hear(message.Message{OverrideAccept: &message.OverrideAccept{ID: prepare.ID}})
+	require.Equal(t, heir, r.node.ownerOf(rigSlot(0)))
+}
+
+// Guards against a member that accepts an override although it may renew the lease of the old owner.
+func TestAcceptNeedsTheStatement(t *testing.T) {
+	r := newRig(t, "b")
+	r.run(3 * time.Second)
+	accepted := func() *message.OverrideAccept {
+		return last(r, "b", func(m message.Message) *message.OverrideAccept { return m.OverrideAccept })
+	}
+	prepare := message.OverridePrepare{ID: overrideTo(heir).ID, Cell: rigZone, CellEpoch: rigEpoch, From: r.first,
+		Moves: []record.Move{{Slot: rigSlot(0), BaseEpoch: rigBase, To: heir}}}
+	r.hear(message.Message{OverridePrepare: &prepare})
+	require.Nil(t, accepted())
+	require.Equal(t, r.first, r.node.ownerOf(rigSlot(0)))
+	r.hear(r.stopQuery())
+	r.hear(message.Message{OverridePrepare: &prepare})
+	require.NotNil(t, accepted())
+}
+
+// Guards against a process that joined a cell and grants a slot to its owner in the log, although the other members gave it
+// to another target while the log was down.
+func TestJoinedProcessSynchronizesFirst(t *testing.T) {
+	r := newRig(t, "a")
+	r.node = NewNode(r.node.settings)
+	r.unsynced = true
+	fresh := newRig(t, "a")
+	r.read(record.ConfigStream, 1, fresh.node.streams[record.ConfigStream].tail[0].Record)
+	r.step(LogRead{Stream: record.AssignStream, Entries: fresh.node.streams[record.AssignStream].tail, End: rigBase + 1})
+	r.renewed = nil
+	r.run(3 * time.Second)
+	require.Empty(t, r.renewed)
+	query := last(r, "b", func(m message.Message) *message.SyncQuery { return m.SyncQuery })
+	r.hear(syncReply(*query, overrideTo(heir)))
+	r.run(time.Second)
+	require.True(t, r.extended(r.first))
+	require.Equal(t, []model.Slot{rigSlot(1)}, r.node.slotsOf(r.first))
+}
+
+// Guards against an override that outlives a newer record for its slot, so that a slot has two owners.
+func TestNewerRecordEndsOverride(t *testing.T) {
+	r := newRig(t, "a")
+	r.run(time.Second)
+	r.node.learnOverride(overrideTo(heir))
+	require.Equal(t, heir, r.node.ownerOf(rigSlot(0)))
+	move := record.Move{Slot: rigSlot(0), BaseEpoch: rigBase, To: r.first}
+	reassign := record.Reassign{Cell: rigZone, CellEpoch: rigEpoch, Evidence: record.EvidenceLapsed, Moves: []record.Move{move}}
+	entry := record.Entry{Offset: rigBase + 1, Record: record.Record{Reassign: &reassign}}
+	r.node.handle(LogRead{Stream: record.AssignStream, Entries: []record.Entry{entry}, End: rigBase + 2})
+	require.Equal(t, r.first, r.node.ownerOf(rigSlot(0)))
+	r.step(Tick{})
+	require.Empty(t, r.node.overrides)
+}
