Keep the horizon when the answer to a raised term is lost, and restart ramps

A trace showed that the successor had imported the table (27 of 27) and then began a new horizon: the answer to its first renewal under a new term was lost, and the next answer named its own term as the one before. PreviousTerm is now the term before the present one, whatever renewals repeat it. Ruled out: lost handovers; a term check by the lessor alone.

--- a/internal/control/ramp.go
+++ b/internal/control/ramp.go
@@ -28,7 +28,9 @@
 		r.startCold(now, cold || r.isNew(now, first, incarnation, known))
 	}
 	if cold && !r.reported {
-		r.startCold(now, true)
+		// The target turned cold, perhaps during an earlier cold start: the ramp begins anew.
+		r.cold = true
+		r.coldSince = now
 	}
 	r.reported = cold
 	if r.cold && !cold && now.Sub(r.coldSince) >= service.ColdStart {
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -79,7 +79,8 @@
 
 // LeaveLinger is the time for which a VM that has left its cell still answers its peers. Those that have not folded its
 // leaving yet learn that it refuses their requests as not run, and send them elsewhere instead of waiting for an answer.
-const LeaveLinger = 500 * time.Millisecond
+// Others act for its targets within 1 s, and their statuses take a moment more.
+const LeaveLinger = 1500 * time.Millisecond
 
 func linger(ctx context.Context) {
 	timer := time.NewTimer(LeaveLinger)
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -58,8 +58,6 @@
 	// claimed is the highest term that this process sent and that the target has not refused. The target may have accepted
 	// it even if no answer came.
 	claimed model.Term
-	// uncertain is true after a lost answer to a renewal that raised the term.
-	uncertain bool
 	// refused is the higher term that the target named when it refused this process.
 	refused model.Term
 	// endsBy is when every lease renewed by this process has run out.
@@ -152,12 +150,11 @@
 		return true
 	}
 	k.latest = &reading{clock: reply.Clock, sentAt: answered.sentAt, receivedAt: now}
-	continuous := k.continues(reply)
+	continuous := k.continues(answered.request.Term, reply)
 	if !continuous {
-		k.previous = k.predecessor(answered, reply)
+		k.previous = reply.PreviousTerm
 	}
 	k.held = answered.request.Term
-	k.uncertain = false
 	if !answered.extends || answered.request.Incarnation != reply.Incarnation {
 		k.loseSlots(continuous)
 		k.nextAt = k.soon(now, answered, reply)
@@ -206,18 +203,13 @@
 	k.slots = map[model.Slot]slotHold{}
 }
 
-// continues reports whether no other lessor acted for the target since this process's last accepted renewal.
-func (k *Keeper) continues(reply target.RenewReply) bool {
-	return !k.uncertain && k.held != (model.Term{}) && reply.PreviousTerm == k.held
-}
-
-// predecessor returns the term that the target held before this process's claim, or zero if an earlier copy of the claim
-// may have replaced it.
-func (k *Keeper) predecessor(answered call, reply target.RenewReply) model.Term {
-	if k.uncertain || reply.PreviousTerm == answered.request.Term {
-		return model.Term{}
+// continues reports whether no other lessor acted for the target since this process's last accepted renewal: the term is
+// still the same, or this process's last term is the one before it.
+func (k *Keeper) continues(accepted model.Term, reply target.RenewReply) bool {
+	if k.held == (model.Term{}) {
+		return false
 	}
-	return reply.PreviousTerm
+	return accepted == k.held || reply.PreviousTerm == k.held
 }
 
 func (k *Keeper) loseSlots(continuous bool) {
@@ -265,9 +257,6 @@
 	if k.inflight == nil || k.inflight.sequence != sequence {
 		return
 	}
-	if k.inflight.request.Term != k.held {
-		k.uncertain = true
-	}
 	k.inflight = nil
 	k.failures++
 	k.nextAt = now.Add(RetryInterval)
--- a/internal/lease/keeper_test.go
+++ b/internal/lease/keeper_test.go
@@ -39,3 +39,39 @@
 	require.True(t, holding)
 	require.True(t, changed)
 }
+
+// Guards against a lost answer to the first renewal under a new term that makes a lessor forget that it acted before, and so
+// start a new horizon for its at-most-once table.
+func TestLostAnswerKeepsContinuity(t *testing.T) {
+	const incarnation, version = 7, 1
+	k := NewKeeper("a")
+	now := model.Instant(time.Second)
+	first, second := model.Term{Epoch: 1}, model.Term{Epoch: 2}
+	slot := model.Slot{Service: "s"}
+	renew := func(term, previous model.Term, answered bool) {
+		directive := Directive{
+			Active: true, Term: term, Registered: incarnation, Version: version, Grants: []target.Grant{{Slot: slot, Fence: 3}},
+		}
+		now = max(now, k.nextAt)
+		call, due := k.Next(now, directive)
+		require.True(t, due)
+		now = now.Add(time.Millisecond)
+		if !answered {
+			k.Failed(now, call.Sequence)
+			return
+		}
+		k.Answered(now, call.Sequence, target.RenewReply{
+			Accepted: true, Term: term, PreviousTerm: previous, Incarnation: incarnation, Clock: now, GrantsVersion: version,
+		})
+	}
+	for range 3 {
+		renew(first, model.Term{}, true)
+	}
+	before, held := k.Holding(now)
+	require.True(t, held)
+	renew(second, first, false)
+	renew(second, first, true)
+	after, held := k.Holding(now)
+	require.True(t, held)
+	require.Equal(t, before.Slots[slot].Since, after.Slots[slot].Since)
+}
--- a/internal/proof/target_test.go
+++ b/internal/proof/target_test.go
@@ -16,10 +16,12 @@
 	alive       bool
 	frozen      bool
 	// rate is the rate of the target's clock against virtual time.
-	rate  float64
-	boot  time.Duration
-	term  model.Term
-	lease model.Instant
+	rate float64
+	boot time.Duration
+	term model.Term
+	// previous is the term before the present one.
+	previous model.Term
+	lease    model.Instant
 	// granted maps slots to fences; refused maps slots to the highest revoked fence.
 	granted  map[model.Slot]model.Fence
 	excluded map[model.Slot]map[uint64]bool
@@ -42,6 +44,7 @@
 	t.frozen = false
 	t.boot = t.world.now
 	t.term = model.Term{}
+	t.previous = model.Term{}
 	t.lease = 0
 	t.granted = map[model.Slot]model.Fence{}
 	t.excluded = map[model.Slot]map[uint64]bool{}
@@ -78,17 +81,26 @@
 	}
 }
 
+// raise takes a term and keeps the one before it.
+func (t *fakeTarget) raise(term model.Term) {
+	if term != t.term {
+		t.previous = t.term
+		t.term = term
+	}
+}
+
 func (t *fakeTarget) renew(r target.RenewRequest) target.RenewReply {
-	reply := target.RenewReply{PreviousTerm: t.term, Incarnation: t.incarnation, Clock: t.clock(), Cold: t.cold, Draining: t.draining}
+	reply := target.RenewReply{Incarnation: t.incarnation, Clock: t.clock(), Cold: t.cold, Draining: t.draining}
 	t.world.touched = true
 	if r.Term.Less(t.term) && !t.unchecked {
 		reply.Term = t.term
 		reply.GrantsVersion = t.version
 		return reply
 	}
-	t.term = r.Term
+	t.raise(r.Term)
 	reply.Accepted = true
 	reply.Term = r.Term
+	reply.PreviousTerm = t.previous
 	if r.Incarnation == t.incarnation && r.ValidUntil > 0 && (r.HasGrants || r.GrantsVersion == t.version) {
 		if r.HasGrants {
 			t.take(r)
@@ -128,7 +140,7 @@
 	if r.Term.Less(t.term) && !t.unchecked {
 		return reply
 	}
-	t.term = r.Term
+	t.raise(r.Term)
 	reply.Term = r.Term
 	reply.Accepted = true
 	for _, revoked := range r.Slots {
--- a/internal/standin/lease.go
+++ b/internal/standin/lease.go
@@ -10,10 +10,12 @@
 
 // lease is what a target knows of its lease and of its slots. It is lost when the target restarts.
 type lease struct {
-	term    model.Term
-	until   model.Instant
-	version uint64
-	grants  map[string]target.Grant
+	term model.Term
+	// previous is the term before the present one.
+	previous model.Term
+	until    model.Instant
+	version  uint64
+	grants   map[string]target.Grant
 	// revoked holds the highest fence of each slot that was taken away; a grant must exceed it.
 	revoked map[string]model.Fence
 	// refused lists the slots of the last grants that were left out because they are revoked.
@@ -81,6 +83,14 @@
 // splitName is the name of the slot that holds only the key with the given hash.
 func splitName(slot, keyHash string) string { return slot + "/" + keyHash }
 
+// raise takes an accepted term.
+func (l *lease) raise(term model.Term) {
+	if term != l.term {
+		l.previous = l.term
+		l.term = term
+	}
+}
+
 // acceptsTerm reports whether a command with the term is obeyed. The mutex is held.
 func (t *Target) acceptsTerm(term model.Term) bool {
 	return t.options.Unchecked || !term.Less(t.lease.term)
@@ -100,9 +110,9 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	now := t.now()
-	reply := target.RenewReply{Accepted: t.acceptsTerm(request.Term), PreviousTerm: t.lease.term}
+	reply := target.RenewReply{Accepted: t.acceptsTerm(request.Term)}
 	if reply.Accepted {
-		t.lease.term = request.Term
+		t.lease.raise(request.Term)
 		// A renewal that was held up, or was meant for an older process, extends nothing.
 		// A lease must not extend grants that the lessor did not name.
 		named := request.HasGrants || request.GrantsVersion == t.lease.version
@@ -115,6 +125,7 @@
 	}
 	t.limit()
 	reply.Term = t.lease.term
+	reply.PreviousTerm = t.lease.previous
 	reply.Incarnation = t.incarnation
 	reply.Clock = now
 	reply.GrantsVersion = t.lease.version
@@ -140,7 +151,7 @@
 	defer t.mutex.Unlock()
 	reply := target.RevokeReply{Accepted: t.acceptsTerm(request.Term), Incarnation: t.incarnation}
 	if reply.Accepted {
-		t.lease.term = request.Term
+		t.lease.raise(request.Term)
 		for _, revoked := range request.Slots {
 			t.lease.revoke(revoked.Slot.String(), revoked.Fence)
 			reply.Running += t.runningFor(revoked.Slot.String())
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -97,7 +97,8 @@
 	// Accepted is false if the term was lower than Term.
 	Accepted bool       `json:"ok,omitempty"`
 	Term     model.Term `json:"term"`
-	// PreviousTerm is the term that the target held before this renewal.
+	// PreviousTerm is the term that the target held before Term. Renewals under the same term do not change it, so a lessor
+	// learns it also if the first answer was lost.
 	PreviousTerm  model.Term        `json:"previous"`
 	Incarnation   model.Incarnation `json:"inc"`
 	Clock         model.Instant     `json:"clock"`
