--- a/internal/proof/failover_test.go
+++ b/internal/proof/failover_test.go
@@ -82,7 +82,10 @@
 		committed += w.failovers
 	})
 	t.Logf("%d overrides were committed", committed)
-	require.Positive(t, committed, "the faults never led to an override")
+	if !testing.Short() {
+		// The two checks of a short run are too few to lead to an override for certain.
+		require.Positive(t, committed, "the faults never led to an override")
+	}
 }
 
 // countFailovers counts the overrides that were committed.
