--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 	$(GO) test -count=1 ./...
 
 race:
-	$(GO) test -race -short $(RACE_PACKAGES)
+	$(GO) test -count=1 -race -short $(RACE_PACKAGES)
 
 fmt:
 	@test -z "$$(gofmt -l cmd internal)" || { gofmt -l cmd internal; echo "run gofmt -w on these files"; exit 1; }
