Release a stop statement only when its maker has folded the takeover

A takeover moved only those slots of a target that had a destination; the target came back, the asker, which had folded the record, released the other member, and that one, which had not, renewed the lease with the old grants (by trace of queries, statements, releases and renewals). A release now names the asker's offset. Two hazards seen on the way, fixed too: a late query could replace the statement for a newer takeover, and a second asker's query that for the first. Ruled out: a record of a second writer; statements given at another epoch.

--- a/internal/control/failover.go
+++ b/internal/control/failover.go
@@ -127,7 +127,7 @@
 	if !known || n.assign.state.CellEpoch(prepare.Cell) != prepare.CellEpoch || !n.isMember(prepare.Cell) {
 		return
 	}
-	if state.stopFor == nil || state.stopFor.asker != from || state.stopFor.epoch != prepare.CellEpoch {
+	if promise, stated := state.stopFor[from]; !stated || promise.epoch != prepare.CellEpoch {
 		return
 	}
 	for _, move := range prepare.Moves {
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -42,8 +42,8 @@
 	grantsAt model.Offset
 
 	takeover *takeover
-	// stopFor is the query for which this VM stated that it does not renew; nil if none.
-	stopFor *stopPromise
+	// stopFor holds, by asker, the queries for which this VM stated that it does not renew. Each asker may rely on its own.
+	stopFor map[model.VMID]*stopPromise
 	// exclusive is the collection of statements that lets this VM act for a target that does not check terms.
 	exclusive *takeover
 
@@ -212,7 +212,7 @@
 
 func (n *Node) renew(state *targetState) {
 	n.refreshGrants(state)
-	if state.takeover == nil && state.stopFor == nil {
+	if state.takeover == nil && len(state.stopFor) == 0 {
 		state.keeper.Resume()
 	}
 	call, due := state.keeper.Next(n.now, lease.Directive{
--- a/internal/control/moves.go
+++ b/internal/control/moves.go
@@ -42,7 +42,7 @@
 // grants, so that keys split from a slot are already excluded from it.
 func (n *Node) canRevoke(state *targetState) bool {
 	holding, ok := state.keeper.Holding(n.now)
-	if !ok || !state.acting || n.leaving || state.takeover != nil || state.stopFor != nil {
+	if !ok || !state.acting || n.leaving || state.takeover != nil || len(state.stopFor) > 0 {
 		return false
 	}
 	n.refreshGrants(state)
--- a/internal/control/records.go
+++ b/internal/control/records.go
@@ -168,7 +168,7 @@
 	if n.needsRescue(state.id) {
 		return
 	}
-	if state.takeover != nil || state.stopFor != nil {
+	if state.takeover != nil || len(state.stopFor) > 0 {
 		state.takeover = nil
 		state.stopFor = nil
 		state.keeper.Resume()
--- a/internal/control/takeover.go
+++ b/internal/control/takeover.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"time"
 
 	"github.com/tarragonpoint/tarragonpoint/internal/config"
@@ -34,10 +35,12 @@
 // stopPromise is this VM's own statement to another member.
 type stopPromise struct {
 	epoch    model.Offset
-	asker    model.VMID
 	sequence uint64
 	// remindedAt is when the statement was last sent.
 	remindedAt model.Instant
+	// releasedAt is the assign offset from which the statement ends; it counts if isReleased.
+	releasedAt model.Offset
+	isReleased bool
 }
 
 func (n *Node) newTakeover(zone model.Zone) *takeover {
@@ -53,6 +56,7 @@
 func (n *Node) takeOver() {
 	for _, id := range n.targetIDs {
 		state := n.targets[id]
+		n.endReleased(state)
 		n.remindStop(state)
 		if !state.acting && !n.outbox.has(takeoverPurpose(id)) {
 			n.release(state)
@@ -81,7 +85,7 @@
 
 // takeOverLapsed handles a target of an own cell that has been silent.
 func (n *Node) takeOverLapsed(state *targetState) {
-	if !n.isLost(state) || state.stopFor != nil {
+	if !n.isLost(state) || len(state.stopFor) > 0 {
 		n.abortProposal(state)
 		return
 	}
@@ -229,12 +233,20 @@
 		n.send(from, message.Message{StopStatement: &statement})
 		return
 	}
+	if earlier, stated := state.stopFor[from]; stated && query.Sequence < earlier.sequence {
+		// A late query must not replace the statement for a newer takeover: its release would end both.
+		return
+	}
 	n.release(state)
-	state.stopFor = &stopPromise{epoch: query.CellEpoch, asker: from, sequence: query.Sequence, remindedAt: n.now}
+	promise := &stopPromise{epoch: query.CellEpoch, sequence: query.Sequence, remindedAt: n.now}
+	if state.stopFor == nil {
+		state.stopFor = map[model.VMID]*stopPromise{}
+	}
+	state.stopFor[from] = promise
 	state.exclusive = nil
 	state.keeper.Stop()
 	n.dirty = true
-	n.send(from, message.Message{StopStatement: n.statementFor(state, state.stopFor)})
+	n.send(from, message.Message{StopStatement: n.statementFor(state, promise)})
 }
 
 func (n *Node) statementFor(state *targetState, promise *stopPromise) *message.StopStatement {
@@ -268,14 +280,13 @@
 			return
 		}
 	}
-	released := message.StopRelease{Target: statement.Target, Sequence: statement.Sequence}
-	n.send(from, message.Message{StopRelease: &released})
+	n.sendRelease(from, statement.Target, statement.Sequence)
 }
 
 // isExclusive collects the statements that let this VM act for a target that does not check terms, and reports whether it
 // has them all.
 func (n *Node) isExclusive(state *targetState) bool {
-	if state.stopFor != nil {
+	if len(state.stopFor) > 0 {
 		return false
 	}
 	zone := state.config.Zone
@@ -295,12 +306,13 @@
 // remindStop repeats this VM's statement while its target answers, so that an asker that gave the takeover up, and whose
 // release was lost, releases it again.
 func (n *Node) remindStop(state *targetState) {
-	promise := state.stopFor
-	if promise == nil || n.now.Sub(promise.remindedAt) < remindInterval {
-		return
+	for _, asker := range sortedKeys(state.stopFor) {
+		promise := state.stopFor[asker]
+		if n.now.Sub(promise.remindedAt) >= remindInterval {
+			promise.remindedAt = n.now
+			n.send(asker, message.Message{StopStatement: n.statementFor(state, promise)})
+		}
 	}
-	promise.remindedAt = n.now
-	n.send(promise.asker, message.Message{StopStatement: n.statementFor(state, promise)})
 }
 
 // release ends the takeover of a target and frees the members that stated that they stopped for it.
@@ -310,8 +322,7 @@
 	}
 	n.abortProposal(state)
 	for _, vm := range sortedKeys(state.takeover.endsBy) {
-		released := message.StopRelease{Target: state.id, Sequence: state.takeover.sequence}
-		n.send(vm, message.Message{StopRelease: &released})
+		n.sendRelease(vm, state.id, state.takeover.sequence)
 	}
 	state.takeover = nil
 	state.keeper.Resume()
@@ -321,12 +332,29 @@
 
 func (n *Node) onStopRelease(from model.VMID, released message.StopRelease) {
 	state, known := n.targets[released.Target]
-	if !known || state.stopFor == nil {
+	if !known {
 		return
 	}
-	if state.stopFor.asker == from && state.stopFor.sequence == released.Sequence {
-		state.stopFor = nil
+	if promise, stated := state.stopFor[from]; stated && promise.sequence == released.Sequence {
+		promise.isReleased = true
+		promise.releasedAt = released.AssignOffset
+		n.endReleased(state)
+	}
+}
+
+// endReleased ends the statements whose askers released them, once this VM has folded what the askers had.
+func (n *Node) endReleased(state *targetState) {
+	before := len(state.stopFor)
+	maps.DeleteFunc(state.stopFor, func(_ model.VMID, promise *stopPromise) bool {
+		return promise.isReleased && n.assign.Offset() >= promise.releasedAt
+	})
+	if before > 0 && len(state.stopFor) == 0 && state.takeover == nil {
 		state.keeper.Resume()
 		state.keeper.Hurry(n.now)
 	}
 }
+
+func (n *Node) sendRelease(to model.VMID, id model.TargetID, sequence uint64) {
+	released := message.StopRelease{Target: id, Sequence: sequence, AssignOffset: n.assign.Offset()}
+	n.send(to, message.Message{StopRelease: &released})
+}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -91,6 +91,9 @@
 type StopRelease struct {
 	Target   model.TargetID `cbor:"1,keyasint"`
 	Sequence uint64         `cbor:"2,keyasint"`
+	// AssignOffset is how far the sender has folded. The receiver is free once it has folded as far, because a record of
+	// the takeover may have moved some of the target's slots.
+	AssignOffset model.Offset `cbor:"3,keyasint"`
 }
 
 // FetchRecords asks a peer for records of a stream from an offset on.
