Use one cold-start ramp and drop state that nothing reads

Cause: found on reading the whole change. The lessor's ramp computed again what balance.Limit does, although its doc comment names the lessor as the caller; assign.State.SnapshotOffset was written and never read; cell.Detector.Forget had no caller; a comment on stream described a field that is gone. Ruled out: a difference in rounding between the two ramps: both round down, and products of limits and durations stay below 2^53, where float64 is exact.

--- a/internal/assign/fold.go
+++ b/internal/assign/fold.go
@@ -56,7 +56,6 @@
 	case r.Split != nil:
 		return s.split(offset, *r.Split)
 	case r.Snapshot != nil:
-		s.SnapshotOffset = offset
 		return Applied
 	default:
 		return VoidContent
--- a/internal/assign/state.go
+++ b/internal/assign/state.go
@@ -32,10 +32,8 @@
 type State struct {
 	// Offset is the offset of the last folded record.
 	Offset model.Offset
-	// SnapshotOffset is the offset of the last snapshot seen.
-	SnapshotOffset model.Offset
-	Cells          map[model.Zone]*Cell
-	Slots          map[model.Slot]Ownership
+	Cells  map[model.Zone]*Cell
+	Slots  map[model.Slot]Ownership
 	// Splits lists the key hashes split from each hash slot, in order.
 	Splits       map[model.Slot][]uint64
 	Incarnations map[model.TargetID]model.Incarnation
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -43,9 +43,6 @@
 	}
 }
 
-// Forget drops a VM.
-func (d *Detector) Forget(vm model.VMID) { delete(d.heard, vm) }
-
 // Silence returns for how long a VM has not been heard. A VM that is not known counts as silent forever.
 func (d *Detector) Silence(vm model.VMID, now model.Instant) time.Duration {
 	heard, known := d.heard[vm]
--- a/internal/control/ramp.go
+++ b/internal/control/ramp.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/tarragonpoint/tarragonpoint/internal/balance"
 	"github.com/tarragonpoint/tarragonpoint/internal/config"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
 )
@@ -59,7 +60,9 @@
 	if !r.cold || service.ColdStart <= 0 {
 		return service.Concurrency
 	}
-	elapsed := min(now.Sub(r.coldSince), service.ColdStart)
-	span := service.Concurrency - service.ColdInitial
-	return service.ColdInitial + int(int64(span)*int64(elapsed)/int64(service.ColdStart))
+	return balance.Limit(r.coldSince, now, balance.Ramp{
+		Initial:     service.ColdInitial,
+		Concurrency: service.Concurrency,
+		Duration:    service.ColdStart,
+	})
 }
--- a/internal/control/stream.go
+++ b/internal/control/stream.go
@@ -32,7 +32,7 @@
 	ahead []record.Entry
 	// end is the highest offset known to exist in the log.
 	end model.Offset
-	// logEnd is the highest offset that a read of the log reported; synced is true once the fold has reached it.
+	// synced is true once the fold has reached the end that a read of the log reported.
 	synced    bool
 	fetchedAt model.Instant
 }
