Name the target in orders and raise fences after a failed grant

A connection that broke may also hide a restart under the same ID. Ruled out: waiting for the registry (it lags by up to 3 heartbeats). Change: orders carry the target's ID; an answer of another target ends the former life; fences of one record are 65536 apart, and the leader raises them within that step after each failed grant; a claim gives all ranges new fences.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -203,35 +203,47 @@
 func (c *control) grant(ctx context.Context, command keyspace.Command) {
 	callCtx, cancel := context.WithTimeout(ctx, c.settings.OrderTimeout)
 	defer cancel()
-	result, err := c.targets.Grant(callCtx, command.Target.Address, command.From, command.To, command.Fence, c.settings.Hold, command.Handover)
-	outcome := keyspace.Done
-	switch {
-	case err != nil:
-		outcome = orderFailure(err)
-		c.targets.Pool().Forget(command.Target.Address)
-	case result == platform.Fenced:
-		outcome = keyspace.Fenced
-	case result == platform.Rejected:
-		outcome = keyspace.Refused
-	}
-	c.logOrder(command, outcome, err)
+	result, err := c.targets.Grant(callCtx, keyRange(command), c.settings.Hold, command.Handover)
+	outcome := c.orderEnded(command, result, err)
 	c.post(func(now model.Instant) { c.manager.GrantEnded(now, command, outcome) })
 }
 
 func (c *control) release(ctx context.Context, command keyspace.Command) {
 	callCtx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
-	handover, released, err := c.targets.Release(callCtx, command.Target.Address, command.From, command.To, command.Fence)
-	outcome := keyspace.Done
-	switch {
-	case err != nil:
-		outcome = orderFailure(err)
+	handover, result, err := c.targets.Release(callCtx, keyRange(command))
+	outcome := c.orderEnded(command, result, err)
+	c.post(func(now model.Instant) { c.manager.ReleaseEnded(now, command, outcome, handover) })
+}
+
+func keyRange(command keyspace.Command) platform.KeyRange {
+	return platform.KeyRange{
+		Target: command.Target.Life.ID, Address: command.Target.Address, From: command.From, To: command.To, Fence: command.Fence,
+	}
+}
+
+// orderEnded translates and logs the result of an order. After a failure the next order uses a new connection.
+func (c *control) orderEnded(command keyspace.Command, result platform.OrderResult, err error) keyspace.Outcome {
+	outcome := orderOutcome(result, err)
+	if err != nil {
 		c.targets.Pool().Forget(command.Target.Address)
-	case !released:
-		outcome = keyspace.Refused
 	}
 	c.logOrder(command, outcome, err)
-	c.post(func(now model.Instant) { c.manager.ReleaseEnded(now, command, outcome, handover) })
+	return outcome
+}
+
+func orderOutcome(result platform.OrderResult, err error) keyspace.Outcome {
+	switch {
+	case err != nil:
+		return orderFailure(err)
+	case result == platform.Carried:
+		return keyspace.Done
+	case result == platform.Fenced:
+		return keyspace.Fenced
+	case result == platform.Replaced:
+		return keyspace.Replaced
+	}
+	return keyspace.Refused
 }
 
 func orderFailure(err error) keyspace.Outcome {
--- a/internal/keyspace/event.go
+++ b/internal/keyspace/event.go
@@ -36,6 +36,9 @@
 	From, To int
 	Fence    uint64
 	Handover string
+
+	// record is the fence of the range in the table, below which Fence never is.
+	record uint64
 }
 
 // CommandKind tells commands apart.
@@ -68,11 +71,13 @@
 	NotSent
 	// Silent means that no answer came, so that the order may have been carried out or may still be.
 	Silent
+	// Replaced means that another target answered at the address, so that the one asked for has ended.
+	Replaced
 )
 
 // String returns the outcome's name for logs.
 func (o Outcome) String() string {
-	return [...]string{"done", "fenced", "refused", "not-sent", "silent"}[o]
+	return [...]string{"done", "fenced", "refused", "not-sent", "silent", "replaced"}[o]
 }
 
 // Settings hold the times of the state machine.
--- a/internal/keyspace/manager.go
+++ b/internal/keyspace/manager.go
@@ -26,6 +26,9 @@
 	nextGrant model.Instant
 	// failures counts grants in a row that the owner did not answer.
 	failures int
+	// raised is added to the range's fence. A grant that follows a failed one has a higher fence, as the target may have
+	// started anew in between, and its new life may get a key only under a higher fence.
+	raised uint64
 	// fencedAt is when the owner refused the range's fence; 0 if it did not.
 	fencedAt model.Instant
 	// released lists the previous holders that have given up the range.
@@ -55,12 +58,14 @@
 	loads     map[model.Service]*Load
 
 	// pending is a table whose write is not settled.
-	pending        *Table
-	pendingFlying  bool
-	nextAppend     model.Instant
-	orders         map[span]*orderState
-	holdUntil      map[fleet.Life]model.Instant
-	silent         map[fleet.Life]model.Instant
+	pending       *Table
+	pendingFlying bool
+	nextAppend    model.Instant
+	orders        map[span]*orderState
+	holdUntil     map[fleet.Life]model.Instant
+	silent        map[fleet.Life]model.Instant
+	// over holds the lives that are known to have ended, and since when.
+	over           map[fleet.Life]model.Instant
 	lastRebalance  model.Instant
 	resigning      bool
 	changed        bool
@@ -73,6 +78,7 @@
 		settings: settings, self: self, address: address, random: random, table: &Table{}, lives: lifetimes{},
 		loads: map[model.Service]*Load{}, orders: map[span]*orderState{},
 		holdUntil: map[fleet.Life]model.Instant{}, silent: map[fleet.Life]model.Instant{},
+		over:           map[fleet.Life]model.Instant{},
 		flightsByLives: map[fleet.Life]int{},
 	}
 }
@@ -272,8 +278,11 @@
 }
 
 // holdOver reports whether a life can hold no key because every grant has run out. A later life of the same ID is no
-// proof, as a late grant to the former life may have reached it.
+// proof, as a late grant to the former life may have reached it; another target at its address is.
 func (m *Manager) holdOver(now model.Instant, life fleet.Life) bool {
+	if _, over := m.over[life]; over {
+		return true
+	}
 	return m.flightsByLives[life] == 0 && now >= m.holdUntil[life]
 }
 
@@ -285,14 +294,14 @@
 		// The answer arrives when running work has ended, so the next release waits for the outcome.
 		state.releasing[previous.Life] = now.Add(time.Hour)
 		commands = append(commands, Command{
-			Kind: ReleaseKeys, Service: r.Service, Target: previous, From: r.From, To: r.To, Fence: r.Fence,
+			Kind: ReleaseKeys, Service: r.Service, Target: previous, From: r.From, To: r.To, Fence: r.Fence, record: r.Fence,
 		})
 	}
 	return commands
 }
 
 func (m *Manager) stepGrant(now model.Instant, r *Range, state *orderState) (Command, bool) {
-	if state.inFlight || state.fencedAt != 0 || now < state.nextGrant || m.isSilent(r.Owner.Life) {
+	if state.inFlight || state.fencedAt != 0 || m.isOver(r.Owner.Life) || now < state.nextGrant || m.isSilent(r.Owner.Life) {
 		return Command{}, false
 	}
 	if m.resigning && r.Ready {
@@ -304,7 +313,8 @@
 	state.inFlight = true
 	m.flightsByLives[r.Owner.Life]++
 	return Command{
-		Kind: GrantKeys, Service: r.Service, Target: r.Owner, From: r.From, To: r.To, Fence: r.Fence, Handover: state.handover,
+		Kind: GrantKeys, Service: r.Service, Target: r.Owner, From: r.From, To: r.To,
+		Fence: r.Fence + state.raised, record: r.Fence, Handover: state.handover,
 	}, true
 }
 
@@ -315,6 +325,19 @@
 			delete(m.silent, life)
 		}
 	}
+	for life, since := range m.over {
+		if now.Sub(since) >= overMemory {
+			delete(m.over, life)
+		}
+	}
+}
+
+// overMemory is how long an ended life is remembered: longer than any grant lasts.
+const overMemory = time.Minute
+
+func (m *Manager) isOver(life fleet.Life) bool {
+	_, over := m.over[life]
+	return over
 }
 
 func (m *Manager) isSilent(life fleet.Life) bool {
@@ -350,7 +373,10 @@
 		}
 	case Fenced:
 		state.fencedAt = now
+	case Replaced:
+		m.over[life] = now
 	default:
+		state.raised = min(state.raised+1, maxRaised)
 		// A target may refuse a handover that it cannot use.
 		state.handover = ""
 		state.failures++
@@ -371,6 +397,10 @@
 	// maxRefusedGrants is the number of grants in a row that a target's host may refuse before its keys are moved. A host
 	// also refuses connections above the target's limit.
 	maxRefusedGrants = 3
+	// fenceStep is the distance between the fences of two successive records. The leader raises fences within it without
+	// writing a record, so that it can renew grants while the store is away.
+	fenceStep = 1 << 16
+	maxRaised = fenceStep - 1
 )
 
 // markReady records in memory that the owner has taken the keys; the next write of the table tells the other VMs.
@@ -389,6 +419,10 @@
 	}
 	state := m.order(r)
 	life := command.Target.Life
+	if outcome == Replaced {
+		m.over[life] = now
+		return
+	}
 	if outcome == Done {
 		delete(m.silent, life)
 		state.released[life] = true
@@ -405,7 +439,7 @@
 func (m *Manager) find(command Command) *Range {
 	for i := range m.table.Ranges {
 		r := &m.table.Ranges[i]
-		if r.Service == command.Service && r.Fence == command.Fence && r.From == command.From && r.To == command.To {
+		if r.Service == command.Service && r.Fence == command.record && r.From == command.From && r.To == command.To {
 			return r
 		}
 	}
--- a/internal/keyspace/plan.go
+++ b/internal/keyspace/plan.go
@@ -26,7 +26,7 @@
 		if !m.chosen || m.resigning {
 			return nil
 		}
-		return m.draft()
+		return m.claim()
 	}
 	if !m.InOffice(now) {
 		return nil
@@ -64,6 +64,19 @@
 	return draft
 }
 
+// fenceAt returns the fence of ranges that the record at an offset assigns.
+func fenceAt(offset uint64) uint64 { return (offset + 1) * fenceStep }
+
+// claim returns the table by which this process takes the leader's office. All ranges get new fences, as the former
+// leader may have raised theirs, and owners may have started anew since.
+func (m *Manager) claim() *Table {
+	draft := m.draft()
+	for i := range draft.Ranges {
+		draft.Ranges[i].Fence = fenceAt(draft.Offset)
+	}
+	return draft
+}
+
 func (m *Manager) planResignation() *Table {
 	if len(m.flightsByLives) > 0 {
 		return nil
@@ -93,12 +106,12 @@
 
 func newPlanner(m *Manager, now model.Instant, draft *Table) *planner {
 	p := &planner{
-		m: m, now: now, draft: draft, fence: draft.Offset + 1,
+		m: m, now: now, draft: draft, fence: fenceAt(draft.Offset),
 		usable: map[model.Service][]*share{}, byLife: map[fleet.Life]*share{},
 	}
 	for i := range m.view.Candidates {
 		candidate := &m.view.Candidates[i]
-		if !candidate.Usable || m.isSilent(candidate.Life) {
+		if !candidate.Usable || m.isSilent(candidate.Life) || m.isOver(candidate.Life) {
 			continue
 		}
 		s := &share{candidate: candidate}
--- a/internal/keyspace/table.go
+++ b/internal/keyspace/table.go
@@ -37,7 +37,7 @@
 	From    int
 	To      int
 	Owner   Holder
-	// Fence is one above the offset of the record that gave the range to its owner.
+	// Fence rises with the offset of the record that gave the range to its owner.
 	Fence uint64
 	// Ready is true once the owner has taken the keys.
 	Ready bool
