Let the leader pass on what it reads from the store

Change: VMs keep a WebSocket link to the leader, which passes on batches of records with offsets and ages; a VM whose link is silent for about a second reads the store itself.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -166,6 +166,8 @@
 	loadedRetry = 300 * time.Millisecond
 	// coldWait is how long a request waits whose cold target was taken by another one in the same moment.
 	coldWait = 5 * time.Millisecond
+	// misplacedWait is how long a request waits whose owner does not hold its key yet.
+	misplacedWait = 80 * time.Millisecond
 	// waitStep is how long a request waits for a change before it is judged again.
 	waitStep = 100 * time.Millisecond
 )
@@ -302,7 +304,7 @@
 // request that may be repeated is overdue, a second attempt is made beside the first, and the first good answer counts.
 func (g *gateway) attempt(ctx context.Context, j *job, place placement) (reply, bool) {
 	now := g.clock.Now()
-	if j.sends > 0 && !g.budget(j.service).Take(now, g.settings.RetryBurst/g.fleetSize()) {
+	if j.sends > 0 && !g.budget(j.service).Take(now, g.retryBurst()) {
 		return refuse(result.Overloaded, "retry budget is spent", loadedRetry), true
 	}
 	callCtx, cancel := g.attemptContext(ctx, j, now)
@@ -385,6 +387,11 @@
 	}()
 }
 
+// retryBurst returns this VM's part of the burst of the retry budget.
+func (g *gateway) retryBurst() float64 {
+	return g.settings.RetryBurst * burstCaution / g.fleetSize()
+}
+
 // attemptContext ends at the request's deadline. When the caller leaves, only a request that may be repeated is cut
 // off: another one is left to end, so that its target need not guess what became of it.
 func (g *gateway) attemptContext(ctx context.Context, j *job, now model.Instant) (context.Context, context.CancelFunc) {
@@ -472,6 +479,10 @@
 		return base, true
 	}
 	repeatable := t.outcome == notRun || j.route.Kind == fleet.Idempotent
+	if t.answer != nil && t.answer.Misplaced {
+		// The owner takes its keys in a moment; a request that comes back at once would spend the retry budget.
+		g.await(ctx, g.state.change(), misplacedWait)
+	}
 	if repeatable && j.sends < g.maxSends(j, t.outcome) && j.left(now) > g.picker.Work(j.route.Name)/2 {
 		g.metrics.retry(string(j.service))
 		return base, false
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/joomcode/errorx"
 
+	"github.com/tarragonpoint/tarragonpoint/internal/hub"
 	"github.com/tarragonpoint/tarragonpoint/internal/keyspace"
 	"github.com/tarragonpoint/tarragonpoint/internal/logging"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
@@ -19,8 +21,9 @@
 	operatorWait = 1800 * time.Millisecond
 	// assignmentWait is the same for the assignment of keys, whose followers are told by targets too.
 	assignmentWait = 4 * time.Second
-	// leaderWait is the same for the leader, whose office rests on recent reads.
-	leaderWait = 2 * time.Second
+	// leaderWait and leaderPace are the same for the leader, on whose reads all VMs rely.
+	leaderWait = 400 * time.Millisecond
+	leaderPace = 400 * time.Millisecond
 	// targetsEvery is the time between two reads of the targets' reports. Targets that leave must get no work 2 s after
 	// their last report.
 	targetsEvery = 800 * time.Millisecond
@@ -31,7 +34,8 @@
 	keyAssignment   = "assignment"
 )
 
-// follower reads one topic of the store from its newest records on and applies each record.
+// follower keeps this VM's state up to date with one topic of the store. While the leader passes the topic on, it reads
+// nothing itself.
 type follower struct {
 	name  string
 	topic string
@@ -40,30 +44,41 @@
 	wait func() time.Duration
 	// pace is the time between two reads that do not wait.
 	pace time.Duration
-	// list applies the newest record of each key; change applies one new record.
+	// list applies the newest record of each key; change applies one new record and reports whether it had an effect.
 	list   func(now model.Instant, page platform.Page)
-	change func(now model.Instant, record platform.Record)
-	// read is told of each read: when it started, and the end of the topic.
-	read func(started model.Instant, end uint64)
+	change func(now model.Instant, record platform.Record) bool
+	// read is told of each read: when the topic was known to end at the offset end.
+	read func(known model.Instant, end uint64)
 	// answered is told after each read whether the store answered.
 	answered func(now model.Instant, answered bool)
+	// direct reports whether this VM has to read the topic itself although the leader passes it on; nil means never.
+	direct func() bool
 
 	lost bool
+
+	mu     sync.Mutex
+	next   uint64
+	listed bool
+	// freshUntil is how long what the leader passed on is taken as up to date.
+	freshUntil model.Instant
 }
 
+const (
+	// passedOnFresh is how long a topic that the leader passed on is taken as up to date. The leader reads every topic
+	// at least twice in that time.
+	passedOnFresh = 1100 * time.Millisecond
+)
+
 // run follows the topic until ctx ends.
 func (f *follower) run(ctx context.Context) {
-	next, listed := uint64(0), false
 	for ctx.Err() == nil {
+		if rest := f.rest(); rest > 0 {
+			sleep(ctx, rest)
+			continue
+		}
 		started := f.gw.clock.Now()
-		var err error
 		callCtx, done := f.gw.outage.begin(ctx)
-		if !listed {
-			next, err = f.listAll(callCtx, started)
-			listed = err == nil
-		} else {
-			next, err = f.readOn(callCtx, started, next)
-		}
+		err := f.update(callCtx, started)
 		restarted := callCtx.Err() != nil && ctx.Err() == nil
 		done()
 		if restarted {
@@ -74,51 +89,134 @@
 		if f.answered != nil {
 			f.answered(f.gw.clock.Now(), err == nil)
 		}
-		if errorx.IsOfType(err, platform.ErrExpired) {
-			listed = false
-		}
 		switch {
 		case err != nil:
 			sleep(ctx, readRetry)
 		case f.pace > 0:
-			sleep(ctx, f.pace-f.gw.clock.Now().Sub(started))
+			sleep(ctx, f.readPace()-f.gw.clock.Now().Sub(started))
 		}
 	}
 }
 
-func (f *follower) listAll(ctx context.Context, started model.Instant) (uint64, error) {
+// rest returns how long this VM need not read the topic.
+func (f *follower) rest() time.Duration {
+	if f.gw.control.leading.Load() || f.direct != nil && f.direct() {
+		return 0
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.listed {
+		return 0
+	}
+	return f.freshUntil.Sub(f.gw.clock.Now())
+}
+
+func (f *follower) readPace() time.Duration {
+	if f.gw.control.leading.Load() {
+		return leaderPace
+	}
+	return f.pace
+}
+
+func (f *follower) readWait() time.Duration {
+	if f.pace == 0 && f.gw.control.leading.Load() {
+		return leaderWait
+	}
+	return f.wait()
+}
+
+// update reads the topic once.
+func (f *follower) update(ctx context.Context, started model.Instant) error {
+	f.mu.Lock()
+	listed, next := f.listed, f.next
+	f.mu.Unlock()
+	if !listed {
+		return f.listAll(ctx, started)
+	}
+	err := f.readOn(ctx, started, next)
+	if errorx.IsOfType(err, platform.ErrExpired) {
+		f.mu.Lock()
+		f.listed = false
+		f.mu.Unlock()
+	}
+	return err
+}
+
+func (f *follower) listAll(ctx context.Context, started model.Instant) error {
 	page, err := f.gw.store.Newest(ctx, f.topic)
 	if err != nil {
-		return 0, err
+		return err
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.list(f.gw.clock.Now(), page)
+	f.next, f.listed = page.Next, true
 	f.readDone(started, page.End)
-	return page.Next, nil
+	return nil
 }
 
-func (f *follower) readOn(ctx context.Context, started model.Instant, next uint64) (uint64, error) {
-	wait := f.wait()
+func (f *follower) readOn(ctx context.Context, started model.Instant, next uint64) error {
+	wait := f.readWait()
 	page, err := f.gw.store.Read(ctx, f.topic, next, wait)
 	if err != nil {
-		return next, err
+		return err
 	}
 	now := f.gw.clock.Now()
-	for _, record := range page.Records {
-		f.change(now, record)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.next != next {
+		// The leader has passed on newer records in the meantime; the next read starts after them.
+		return nil
 	}
+	effective := f.apply(now, page.Records)
 	if len(page.Records) == 0 {
 		// An empty answer says that nothing had come when the wait ended. It may have been held up since.
 		started = min(started.Add(wait), now)
 	}
+	f.next = page.Next
+	if f.gw.control.leading.Load() {
+		f.gw.passOn(f.topic, next, page.Next, f.gw.clock.Now().Sub(started), effective)
+	}
 	if page.Next >= page.End {
 		f.readDone(started, page.End)
 	}
-	return page.Next, nil
+	return nil
 }
 
-func (f *follower) readDone(started model.Instant, end uint64) {
+// apply applies records and returns those that had an effect.
+func (f *follower) apply(now model.Instant, records []platform.Record) []platform.Record {
+	var effective []platform.Record
+	for _, record := range records {
+		if f.change(now, record) {
+			effective = append(effective, record)
+		}
+	}
+	return effective
+}
+
+// applyBatch applies what the leader passed on. A batch that leaves a gap is of no use: this VM reads on by itself.
+func (f *follower) applyBatch(batch *hub.Batch) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.listed || batch.From > f.next || batch.To < f.next {
+		return
+	}
+	now := f.gw.clock.Now()
+	for _, record := range batch.Records {
+		if record.Offset >= f.next {
+			f.change(now, platform.Record{Key: record.Key, Value: record.Value, Offset: record.Offset})
+		}
+	}
+	f.next = batch.To
+	f.freshUntil = now.Add(passedOnFresh - time.Duration(batch.Age)*time.Millisecond)
+	if f.answered != nil {
+		f.answered(now, true)
+	}
+}
+
+func (f *follower) readDone(known model.Instant, end uint64) {
 	if f.read != nil {
-		f.read(started, end)
+		f.read(known, end)
 	}
 }
 
@@ -170,7 +268,10 @@
 				}
 			})
 		},
-		change: func(now model.Instant, record platform.Record) { g.applyOperator(now, record) },
+		change: func(now model.Instant, record platform.Record) bool {
+			g.applyOperator(now, record)
+			return true
+		},
 	}
 }
 
@@ -227,7 +328,8 @@
 			g.state.mu.Unlock()
 			g.control.viewChanged()
 		},
-		change: func(now model.Instant, record platform.Record) { g.applyTarget(now, record) },
+		change: g.changeTarget,
+		direct: func() bool { return g.state.anyFailed() },
 	}
 	return f
 }
@@ -243,33 +345,45 @@
 	})
 }
 
-// applyTarget returns false if the record names no target to use.
+// applyTarget applies a record and reports whether it names a target to use.
 func (g *gateway) applyTarget(now model.Instant, record platform.Record) bool {
+	g.changeTarget(now, record)
+	_, found := g.state.lookup(now, model.TargetID(record.Key))
+	return found
+}
+
+// changeTarget applies a record and reports whether it changed what is known of the target.
+func (g *gateway) changeTarget(now model.Instant, record platform.Record) bool {
 	log := g.log.Part(logging.Registry)
 	id := model.TargetID(record.Key)
-	changed := false
 	if len(record.Value) == 0 {
-		g.state.withRegistry(func(r *registry.Registry) { changed = r.Remove(now, id) })
-		if changed {
-			log.Event("target is gone", logging.TargetID(id), logging.Reason("entry removed"))
-			g.control.viewChanged()
-		}
-		return false
+		g.removeTarget(now, id, "entry removed")
+		return true
 	}
 	registration, err := platform.DecodeTarget(record)
 	if err != nil {
 		log.Event("record is refused", logging.TargetID(id), logging.Offset(model.Offset(record.Offset)), logging.SystemError(err))
-		g.state.withRegistry(func(r *registry.Registry) { changed = r.Remove(now, id) })
-		return false
+		g.removeTarget(now, id, "entry cannot be read")
+		return true
 	}
 	target := registration.Target
+	changed := false
 	g.state.withRegistry(func(r *registry.Registry) { changed = r.Report(now, target, registration.ColdLeft) })
 	if changed {
 		log.Event("target changes", logging.TargetID(id), logging.Service(target.Service), logging.Zone(target.Zone),
 			logging.Address(target.Address), logging.State(targetState(registration)))
 		g.control.viewChanged()
 	}
-	return true
+	return changed
+}
+
+func (g *gateway) removeTarget(now model.Instant, id model.TargetID, reason string) {
+	removed := false
+	g.state.withRegistry(func(r *registry.Registry) { removed = r.Remove(now, id) })
+	if removed {
+		g.log.Part(logging.Registry).Event("target is gone", logging.TargetID(id), logging.Reason(reason))
+		g.control.viewChanged()
+	}
 }
 
 func targetState(registration platform.Registration) string {
@@ -283,20 +397,15 @@
 }
 
 func (g *gateway) tableFollower() *follower {
-	apply := func(now model.Instant, record platform.Record) {
-		if record.Key != keyAssignment {
-			return
+	apply := func(now model.Instant, record platform.Record) bool {
+		if record.Key == keyAssignment {
+			g.applyTable(now, record)
 		}
-		g.applyTable(now, record)
+		return true
 	}
 	return &follower{
 		name: "assignment", topic: topicAssignment, gw: g,
-		wait: func() time.Duration {
-			if g.control.leading.Load() {
-				return leaderWait
-			}
-			return assignmentWait
-		},
+		wait: func() time.Duration { return assignmentWait },
 		list: func(now model.Instant, page platform.Page) {
 			if len(page.Records) == 0 && g.state.table.Load() == nil {
 				g.state.setTable(&keyspace.Table{})
--- /dev/null
+++ b/internal/gateway/link.go
@@ -0,0 +1,105 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/hub"
+	"github.com/tarragonpoint/tarragonpoint/internal/logging"
+	"github.com/tarragonpoint/tarragonpoint/platform"
+)
+
+// linkRetry is the time between two attempts to reach the leader.
+const linkRetry = 300 * time.Millisecond
+
+// followLeader keeps the link to the present leader until ctx ends.
+func (g *gateway) followLeader(ctx context.Context) {
+	lost := false
+	for ctx.Err() == nil {
+		address := g.leaderAddress()
+		if address == "" {
+			g.reportToSelf()
+			sleep(ctx, hub.ReportEvery)
+			continue
+		}
+		client, err := hub.Dial(ctx, address)
+		if err == nil {
+			if lost {
+				g.log.Part(logging.Peer).Event("leader is back", logging.Address(address))
+			}
+			lost = false
+			err = g.serveLink(ctx, client, address)
+			client.Close()
+		}
+		if ctx.Err() == nil && !lost && g.leaderAddress() == address {
+			lost = true
+			g.log.Part(logging.Peer).Event("leader is lost", logging.Address(address), logging.SystemError(err))
+		}
+		sleep(ctx, linkRetry)
+	}
+}
+
+// leaderAddress returns where the leader takes reports, or "" if this VM leads or none does.
+func (g *gateway) leaderAddress() string {
+	table := g.state.table.Load()
+	if table == nil || table.Leader == g.control.self || table.Resigned {
+		return ""
+	}
+	return table.LeaderAddress
+}
+
+// reportToSelf reports the load of a VM that leads.
+func (g *gateway) reportToSelf() {
+	if !g.control.leading.Load() {
+		return
+	}
+	place := g.hub.Record(g.work.take(g.settings.VM))
+	g.place.Store(&place)
+}
+
+// serveLink sends reports and applies pushes until the link breaks or another VM leads.
+func (g *gateway) serveLink(ctx context.Context, client *hub.Client, address string) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		defer cancel()
+		for g.leaderAddress() == address {
+			if client.Send(ctx, g.work.take(g.settings.VM)) != nil {
+				return
+			}
+			sleep(ctx, hub.ReportEvery)
+			if ctx.Err() != nil {
+				return
+			}
+		}
+	}()
+	for {
+		push, err := client.Receive(ctx)
+		if err != nil {
+			return err
+		}
+		if push.Place != nil {
+			g.place.Store(push.Place)
+		}
+		if push.Batch != nil {
+			g.applyBatch(push.Batch)
+		}
+	}
+}
+
+func (g *gateway) applyBatch(batch *hub.Batch) {
+	for _, f := range g.followers {
+		if f.topic == batch.Topic {
+			f.applyBatch(batch)
+		}
+	}
+}
+
+// passOn gives what the leader has read to all other VMs.
+func (g *gateway) passOn(topic string, from, to uint64, age time.Duration, records []platform.Record) {
+	batch := hub.Batch{Topic: topic, From: from, To: to, Age: uint32(max(0, age.Milliseconds()))}
+	for _, record := range records {
+		batch.Records = append(batch.Records, hub.Record{Key: record.Key, Value: record.Value, Offset: record.Offset})
+	}
+	g.hub.Broadcast(batch)
+}
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -1,15 +1,13 @@
 package gateway
 
 import (
-	"context"
 	"math"
 	"sync"
 	"time"
 
+	"github.com/tarragonpoint/tarragonpoint/internal/hub"
 	"github.com/tarragonpoint/tarragonpoint/internal/keyspace"
-	"github.com/tarragonpoint/tarragonpoint/internal/logging"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
-	"github.com/tarragonpoint/tarragonpoint/internal/report"
 )
 
 const (
@@ -39,17 +37,17 @@
 		buckets = map[uint16]time.Duration{}
 		k.services[service] = buckets
 	}
-	buckets[report.BucketOf(key)] += work
+	buckets[uint16(keyspace.Bucket(key))] += work
 }
 
 // take returns the work since the last call.
-func (k *keyWork) take(vm string) report.Report {
+func (k *keyWork) take(vm string) hub.Report {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	r := report.Report{VM: vm, Services: map[model.Service][]report.Bucket{}}
+	r := hub.Report{VM: vm, Services: map[model.Service][]hub.Bucket{}}
 	for service, buckets := range k.services {
 		for index, work := range buckets {
-			r.Services[service] = append(r.Services[service], report.Bucket{Index: index, Work: uint32(work.Milliseconds())})
+			r.Services[service] = append(r.Services[service], hub.Bucket{Index: index, Work: uint32(work.Milliseconds())})
 		}
 		delete(k.services, service)
 	}
@@ -73,7 +71,7 @@
 }
 
 // add records a report.
-func (k *keyLoad) add(r report.Report) {
+func (k *keyLoad) add(r hub.Report) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for service, buckets := range r.Services {
@@ -113,78 +111,6 @@
 	return &copied
 }
 
-// reportLoad sends this VM's load to the leader until ctx ends.
-func (g *gateway) reportLoad(ctx context.Context) {
-	link := leaderLink{gw: g}
-	defer link.close()
-	for ctx.Err() == nil {
-		sleep(ctx, report.Every)
-		table := g.state.table.Load()
-		if table == nil || table.LeaderAddress == "" {
-			continue
-		}
-		r := g.work.take(g.settings.VM)
-		if table.Leader == g.control.self {
-			link.close()
-			answer := g.reports.Record(r)
-			g.place.Store(&answer)
-			continue
-		}
-		link.send(ctx, table.LeaderAddress, r)
-	}
-}
-
-// leaderLink is the connection to the present leader.
-type leaderLink struct {
-	gw      *gateway
-	client  *report.Client
-	address string
-	lost    bool
-}
-
-func (l *leaderLink) send(ctx context.Context, address string, r report.Report) {
-	err := l.connect(ctx, address)
-	var answer report.Answer
-	if err == nil {
-		answer, err = l.client.Send(ctx, r)
-	}
-	log := l.gw.log.Part(logging.Peer)
-	switch {
-	case err != nil:
-		l.close()
-		if !l.lost {
-			log.Event("leader is lost", logging.Address(address), logging.SystemError(err))
-		}
-		l.lost = true
-	default:
-		if l.lost {
-			log.Event("leader is back", logging.Address(address))
-		}
-		l.lost = false
-		l.gw.place.Store(&answer)
-	}
-}
-
-func (l *leaderLink) connect(ctx context.Context, address string) error {
-	if l.client != nil && l.address == address {
-		return nil
-	}
-	l.close()
-	client, err := report.Dial(ctx, address)
-	if err != nil {
-		return err
-	}
-	l.client, l.address = client, address
-	return nil
-}
-
-func (l *leaderLink) close() {
-	if l.client != nil {
-		l.client.Close()
-		l.client = nil
-	}
-}
-
 // fleetSize returns the number of VMs among which common budgets are divided. It is raised by a quarter, as VMs may
 // have joined since the leader counted.
 func (g *gateway) fleetSize() float64 {
--- a/internal/gateway/role.go
+++ b/internal/gateway/role.go
@@ -19,10 +19,10 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"github.com/tarragonpoint/tarragonpoint/internal/hub"
 	"github.com/tarragonpoint/tarragonpoint/internal/logging"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
 	"github.com/tarragonpoint/tarragonpoint/internal/picker"
-	"github.com/tarragonpoint/tarragonpoint/internal/report"
 	"github.com/tarragonpoint/tarragonpoint/internal/retry"
 	"github.com/tarragonpoint/tarragonpoint/platform"
 )
@@ -30,6 +30,8 @@
 const (
 	// retryCaution is the part of the shared retry share that VMs use, as their windows are not aligned.
 	retryCaution = 0.8
+	// burstCaution is the part of the shared retry burst that VMs use.
+	burstCaution = 0.7
 	// balancerNotice is the time after which the load balancer sends no new connections to a VM that is not ready: two
 	// checks a second apart, and one more for their phase.
 	balancerNotice = 2500 * time.Millisecond
@@ -56,19 +58,21 @@
 	state    *state
 	picker   *picker.Picker
 	control  *control
-	load     *keyLoad
-	work     *keyWork
-	reports  *report.Server
-	outage   *outage
-	split    *splitter
-	cold     *coldGate
-	draining atomic.Bool
+	// followers read the topics of the store.
+	followers []*follower
+	load      *keyLoad
+	work      *keyWork
+	hub       *hub.Server
+	outage    *outage
+	split     *splitter
+	cold      *coldGate
+	draining  atomic.Bool
 	// requests ends when the last requests have to be answered.
 	requests    context.Context
 	endRequests context.CancelFunc
 
 	// place is this VM's place among all VMs, as the leader told last; nil if it has not told yet.
-	place atomic.Pointer[report.Answer]
+	place atomic.Pointer[hub.Place]
 
 	budgetsMu sync.Mutex
 	budgets   map[model.Service]budget
@@ -108,10 +112,11 @@
 		split: newSplitter(), cold: newColdGate(), budgets: map[model.Service]budget{},
 	}
 	g.load = newKeyLoad(g.clock.Now)
-	g.reports = report.NewServer(g.clock.Now, g.load.add)
+	g.hub = hub.NewServer(g.clock.Now, func() bool { return g.control.leading.Load() }, g.load.add)
 	g.requests, g.endRequests = context.WithCancel(context.Background())
 	incarnation := strconv.FormatUint(rand.Uint64(), 36)
 	g.control = newControl(g, settings.VM+"/"+incarnation)
+	g.followers = []*follower{g.operatorFollower(), g.targetFollower(), g.tableFollower()}
 	return g, nil
 }
 
@@ -138,12 +143,12 @@
 }
 
 func (g *gateway) startWork(ctx context.Context) {
-	for _, f := range []*follower{g.operatorFollower(), g.targetFollower(), g.tableFollower()} {
+	for _, f := range g.followers {
 		go f.run(ctx)
 	}
 	go g.control.run(ctx)
 	go g.control.join(ctx)
-	go g.reportLoad(ctx)
+	go g.followLeader(ctx)
 	go g.housekeeping(ctx)
 	go g.watchReload(ctx)
 }
@@ -201,7 +206,7 @@
 		return nil, err
 	}
 	router := chi.NewRouter()
-	router.Handle(report.Path, g.reports)
+	router.Handle(hub.Path, g.hub)
 	if err := serve(&http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}, g.settings.ListenPeers); err != nil {
 		return nil, err
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -86,3 +86,10 @@
 	defer s.mu.Unlock()
 	return s.registryRead
 }
+
+// anyFailed reports whether this VM waits for a report of a target that it found unreachable.
+func (s *state) anyFailed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.registry.AnyFailed()
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -171,6 +171,16 @@
 	}
 }
 
+// AnyFailed reports whether a target that could not be reached has not reported since.
+func (r *Registry) AnyFailed() bool {
+	for _, e := range r.entries {
+		if e.failedAt != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // State says whether a target may get work.
 type State uint8
 
