--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -15,8 +15,9 @@
 	// returnGrace is how long an entry that lapsed while the store was away may still return. The platform states about
 	// two seconds.
 	returnGrace = 2200 * time.Millisecond
-	// outageMemory is how long after an outage of the store a removal is taken as a lapse.
-	outageMemory = 2200 * time.Millisecond
+	// catchUp is how long after an outage of the store a removal that is read is taken as a lapse. Later removals happened
+	// after the outage and are final.
+	catchUp = 500 * time.Millisecond
 	// zoneReturnWait is how long the targets of a zone that is taken back get no work, so that fresh reports can tell
 	// which of them are cold: a heartbeat and a poll of the registry.
 	zoneReturnWait = 2 * time.Second
@@ -103,9 +104,9 @@
 	if known == nil {
 		return false
 	}
-	if r.outage || r.outageEnd != 0 && now.Sub(r.outageEnd) < outageMemory {
+	if r.outage || r.outageEnd != 0 && now.Sub(r.outageEnd) < catchUp {
 		if known.goneAt == 0 {
-			known.goneAt = now.Add(returnGrace)
+			known.goneAt = max(now, r.outageEnd).Add(returnGrace)
 		}
 		return false
 	}
