--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 	$(GO) test -count=1 -race -short $(RACE_PACKAGES)
 
 fmt:
-	@test -z "$$(gofmt -l cmd internal)" || { gofmt -l cmd internal; echo "run gofmt -w on these files"; exit 1; }
+	@test -z "$$(gofmt -l cmd internal platform)" || { gofmt -l cmd internal platform; echo "run gofmt -w on these files"; exit 1; }
 
 lint: fmt
 	$(GO) vet $(LINT_PACKAGES)
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -25,6 +25,8 @@
 	groupTTL = 1200 * time.Millisecond
 	// groupEvery is the time between two calls, so that one lost call does not end the membership.
 	groupEvery = 400 * time.Millisecond
+	// candidates is about the number of VMs in the group while the leader is heard.
+	candidates = 4
 	// leaderTick is the time between two steps of the state machine while this VM leads.
 	leaderTick = 40 * time.Millisecond
 	// idleTick is the same while another VM leads.
@@ -78,13 +80,10 @@
 // viewChanged tells that configuration or registry changed. The loop reads them at its next step.
 func (c *control) viewChanged() { c.dirty.Store(true) }
 
-func (c *control) tableRead(now model.Instant, record platform.Record) {
-	c.post(func(model.Instant) {
-		// The manager marks ranges in its table, so it gets a copy of its own.
-		if table, err := keyspace.DecodeTable(record.Value, record.Offset); err == nil {
-			c.manager.TableRead(now, table, record.Offset+1)
-		}
-	})
+// tableRead tells the state machine of a new table. It marks ranges in its table, so it gets a copy.
+func (c *control) tableRead(now model.Instant, table *keyspace.Table) {
+	copied := table.Clone()
+	c.post(func(model.Instant) { c.manager.TableRead(now, copied, copied.Offset+1) })
 }
 
 func (c *control) tableConfirmed(started model.Instant, end uint64) {
@@ -197,11 +196,13 @@
 		c.post(func(now model.Instant) { c.manager.AppendFailed(now, unknown) })
 		return
 	}
-	record := platform.Record{Key: keyAssignment, Value: raw, Offset: command.AsOf}
-	if table, err := keyspace.DecodeTable(raw, command.AsOf); err == nil {
-		c.post(func(now model.Instant) { c.manager.Appended(now, table) })
+	table := c.gw.decodeTable(platform.Record{Key: keyAssignment, Value: raw, Offset: command.AsOf})
+	if table == nil {
+		return
 	}
-	c.gw.applyTable(c.gw.clock.Now(), record)
+	copied := table.Clone()
+	c.post(func(now model.Instant) { c.manager.Appended(now, copied) })
+	c.gw.setTable(table)
 }
 
 // grant sends a grant. The grants of one target go over one connection, one after the other.
@@ -278,23 +279,42 @@
 	c.gw.log.Part(logging.Keyspace).Event(command.Kind.String()+" ended", fields...)
 }
 
-// join keeps this VM in the group from which the store chooses the leader.
+// join keeps this VM in the group from which the store chooses the leader, as far as the group needs it.
 func (c *control) join(ctx context.Context) {
 	generation := uint64(0)
+	member := false
 	for ctx.Err() == nil {
 		started := c.gw.clock.Now()
-		if c.gw.state.complete() {
+		switch {
+		case c.isCandidate():
 			membership, err := c.gw.store.Join(ctx, groupName, c.self, groupTopic, groupTTL, generation)
 			c.gw.metrics.storeCall("join", err)
+			member = true
 			if err == nil {
 				generation = membership.Generation
 				c.post(func(model.Instant) { c.setChosen(started, membership) })
 			}
+		case member:
+			member = false
+			c.leave(ctx)
 		}
 		sleep(ctx, groupEvery-c.gw.clock.Now().Sub(started))
 	}
 }
 
+// isCandidate reports whether this VM has to be in the group: a few VMs are enough while the leader is heard, and all
+// are once it is not. Ranks follow names and so zones; every n-th rank spreads the candidates over them.
+func (c *control) isCandidate() bool {
+	if !c.gw.state.complete() || c.gw.draining.Load() {
+		return false
+	}
+	place := c.gw.place.Load()
+	if c.leading.Load() || place == nil || !c.gw.hearsLeader() {
+		return true
+	}
+	return place.Rank%max(1, place.VMs/candidates) == 0
+}
+
 func (c *control) setChosen(started model.Instant, membership platform.Membership) {
 	c.chosenUntil = 0
 	for _, partition := range membership.Partitions {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -44,9 +44,12 @@
 	wait func() time.Duration
 	// pace is the time between two reads that do not wait.
 	pace time.Duration
-	// list applies the newest record of each key; change applies one new record and reports whether it had an effect.
+	// list applies the newest record of each key; change applies one new record and returns what other VMs need to know of
+	// it, nil if nothing.
 	list   func(now model.Instant, page platform.Page)
-	change func(now model.Instant, record platform.Record) bool
+	change func(now model.Instant, record platform.Record) *passedRecord
+	// applyDelta applies a record that was passed on as a delta, and reports whether that was possible.
+	applyDelta func(now model.Instant, record platform.Record) bool
 	// read is told of each read: when the topic was known to end at the offset end.
 	read func(known model.Instant, end uint64)
 	// answered is told after each read whether the store answered.
@@ -111,6 +114,13 @@
 	return f.freshUntil.Sub(f.gw.clock.Now())
 }
 
+// fresh reports whether the leader passes the topic on to this VM.
+func (f *follower) fresh() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.freshUntil > f.gw.clock.Now()
+}
+
 func (f *follower) readPace() time.Duration {
 	if f.gw.control.leading.Load() {
 		return leaderPace
@@ -183,17 +193,20 @@
 	return nil
 }
 
-// apply applies records and returns those that had an effect.
-func (f *follower) apply(now model.Instant, records []platform.Record) []platform.Record {
-	var effective []platform.Record
+// apply applies records and returns those that other VMs need.
+func (f *follower) apply(now model.Instant, records []platform.Record) []passedRecord {
+	var passed []passedRecord
 	for _, record := range records {
-		if f.change(now, record) {
-			effective = append(effective, record)
+		if p := f.change(now, record); p != nil {
+			passed = append(passed, *p)
 		}
 	}
-	return effective
+	return passed
 }
 
+// whole passes a record on as it is.
+func whole(record platform.Record) *passedRecord { return &passedRecord{Record: record} }
+
 // applyBatch applies what the leader passed on. A batch that leaves a gap is of no use: this VM reads on by itself.
 func (f *follower) applyBatch(batch *hub.Batch) {
 	f.mu.Lock()
@@ -203,8 +216,8 @@
 	}
 	now := f.gw.clock.Now()
 	for _, record := range batch.Records {
-		if record.Offset >= f.next {
-			f.change(now, platform.Record{Key: record.Key, Value: record.Value, Offset: record.Offset})
+		if record.Offset >= f.next && !f.applyPassed(now, record) {
+			return
 		}
 	}
 	f.next = batch.To
@@ -214,6 +227,16 @@
 	}
 }
 
+// applyPassed applies a record that the leader passed on. It returns false if this VM has to read it itself.
+func (f *follower) applyPassed(now model.Instant, passed hub.Record) bool {
+	record := platform.Record{Key: passed.Key, Value: passed.Value, Offset: passed.Offset}
+	if passed.Delta {
+		return f.applyDelta != nil && f.applyDelta(now, record)
+	}
+	f.change(now, record)
+	return true
+}
+
 func (f *follower) readDone(known model.Instant, end uint64) {
 	if f.read != nil {
 		f.read(known, end)
@@ -268,9 +291,9 @@
 				}
 			})
 		},
-		change: func(now model.Instant, record platform.Record) bool {
+		change: func(now model.Instant, record platform.Record) *passedRecord {
 			g.applyOperator(now, record)
-			return true
+			return whole(record)
 		},
 	}
 }
@@ -328,7 +351,12 @@
 			g.state.mu.Unlock()
 			g.control.viewChanged()
 		},
-		change: g.changeTarget,
+		change: func(now model.Instant, record platform.Record) *passedRecord {
+			if !g.changeTarget(now, record) {
+				return nil
+			}
+			return whole(record)
+		},
 		direct: func() bool { return g.state.anyFailed() },
 	}
 	return f
@@ -397,39 +425,85 @@
 }
 
 func (g *gateway) tableFollower() *follower {
-	apply := func(now model.Instant, record platform.Record) bool {
-		if record.Key == keyAssignment {
-			g.applyTable(now, record)
-		}
-		return true
-	}
 	return &follower{
 		name: "assignment", topic: topicAssignment, gw: g,
 		wait: func() time.Duration { return assignmentWait },
-		list: func(now model.Instant, page platform.Page) {
+		list: func(_ model.Instant, page platform.Page) {
 			if len(page.Records) == 0 && g.state.table.Load() == nil {
 				g.state.setTable(&keyspace.Table{})
 			}
 			for _, record := range page.Records {
-				apply(now, record)
+				g.applyTable(record)
 			}
 		},
-		change: apply,
-		read:   func(started model.Instant, end uint64) { g.control.tableConfirmed(started, end) },
+		change:     g.changeTable,
+		applyDelta: g.applyTableDelta,
+		read:       func(started model.Instant, end uint64) { g.control.tableConfirmed(started, end) },
+	}
+}
+
+// changeTable applies a record of the assignment and returns the delta by which other VMs follow.
+func (g *gateway) changeTable(_ model.Instant, record platform.Record) *passedRecord {
+	table := g.decodeTable(record)
+	if table == nil {
+		return whole(record)
+	}
+	base := g.passedTable
+	g.passedTable = table
+	g.setTable(table)
+	if base == nil {
+		return whole(record)
+	}
+	raw, err := keyspace.EncodeDelta(base, table)
+	if err != nil {
+		g.log.Part(logging.Keyspace).Event("delta is not encoded", logging.SystemError(err))
+		return whole(record)
+	}
+	return &passedRecord{Record: platform.Record{Key: record.Key, Value: raw, Offset: record.Offset}, delta: true}
+}
+
+// applyTableDelta applies a delta that the leader passed on.
+func (g *gateway) applyTableDelta(_ model.Instant, record platform.Record) bool {
+	base := g.state.table.Load()
+	if base != nil && base.Offset >= record.Offset {
+		return true
+	}
+	table, err := keyspace.ApplyDelta(base, record.Value, record.Offset)
+	if err != nil {
+		return false
+	}
+	g.setTable(table)
+	return true
+}
+
+// applyTable applies a record of the assignment.
+func (g *gateway) applyTable(record platform.Record) {
+	if table := g.decodeTable(record); table != nil {
+		g.passedTable = table
+		g.setTable(table)
 	}
 }
 
-func (g *gateway) applyTable(now model.Instant, record platform.Record) {
-	log := g.log.Part(logging.Keyspace)
+// decodeTable returns nil for a record that holds no table.
+func (g *gateway) decodeTable(record platform.Record) *keyspace.Table {
+	if record.Key != keyAssignment {
+		return nil
+	}
 	table, err := keyspace.DecodeTable(record.Value, record.Offset)
 	if err != nil {
-		log.Event("record is refused", logging.Offset(model.Offset(record.Offset)), logging.SystemError(err))
-		return
+		g.log.Part(logging.Keyspace).Event("record is refused", logging.Offset(model.Offset(record.Offset)), logging.SystemError(err))
+		return nil
 	}
+	return table
+}
+
+// setTable puts a table in force if it is newer than the present one.
+func (g *gateway) setTable(table *keyspace.Table) {
 	if current := g.state.table.Load(); current != nil && current.Leader != "" && table.Offset <= current.Offset {
 		return
 	}
 	g.state.setTable(table)
-	log.Event("assignment is in force", logging.Table(table.Offset), logging.Name(table.Leader), logging.Count(len(table.Ranges)))
-	g.control.tableRead(now, record)
+	g.log.Part(logging.Keyspace).Event("assignment is in force", logging.Table(table.Offset), logging.Name(table.Leader),
+		logging.Count(len(table.Ranges)))
+	g.control.tableRead(g.clock.Now(), table)
 }
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -48,6 +48,16 @@
 	return table.LeaderAddress
 }
 
+// hearsLeader reports whether the leader passes the assignment on to this VM.
+func (g *gateway) hearsLeader() bool {
+	for _, f := range g.followers {
+		if f.topic == topicAssignment {
+			return f.fresh()
+		}
+	}
+	return false
+}
+
 // reportToSelf reports the load of a VM that leads.
 func (g *gateway) reportToSelf() {
 	if !g.control.leading.Load() {
@@ -96,10 +106,19 @@
 }
 
 // passOn gives what the leader has read to all other VMs.
-func (g *gateway) passOn(topic string, from, to uint64, age time.Duration, records []platform.Record) {
+func (g *gateway) passOn(topic string, from, to uint64, age time.Duration, records []passedRecord) {
 	batch := hub.Batch{Topic: topic, From: from, To: to, Age: uint32(max(0, age.Milliseconds()))}
 	for _, record := range records {
-		batch.Records = append(batch.Records, hub.Record{Key: record.Key, Value: record.Value, Offset: record.Offset})
+		batch.Records = append(batch.Records, hub.Record{
+			Key: record.Key, Value: record.Value, Offset: record.Offset, Delta: record.delta,
+		})
 	}
 	g.hub.Broadcast(batch)
 }
+
+// passedRecord is a record as it is passed on.
+type passedRecord struct {
+	platform.Record
+	// delta is true if the value is a delta of the former record of the key.
+	delta bool
+}
--- a/internal/gateway/role.go
+++ b/internal/gateway/role.go
@@ -20,6 +20,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/tarragonpoint/tarragonpoint/internal/hub"
+	"github.com/tarragonpoint/tarragonpoint/internal/keyspace"
 	"github.com/tarragonpoint/tarragonpoint/internal/logging"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
 	"github.com/tarragonpoint/tarragonpoint/internal/picker"
@@ -58,6 +59,8 @@
 	state    *state
 	picker   *picker.Picker
 	control  *control
+	// passedTable is the newest table that the follower of the assignment has read; only that follower uses it.
+	passedTable *keyspace.Table
 	// followers read the topics of the store.
 	followers []*follower
 	load      *keyLoad
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -71,6 +71,8 @@
 	Key    string
 	Value  []byte
 	Offset uint64
+	// Delta is true if the value says how the record follows from the former one of its key.
+	Delta bool
 }
 
 // Batch says what a topic holds between two offsets. Records without effect are left out.
--- a/internal/keyspace/fuzz_test.go
+++ b/internal/keyspace/fuzz_test.go
@@ -1,6 +1,8 @@
 package keyspace
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -42,43 +44,42 @@
 	vm := rapid.IntRange(0, len(w.vms)-1).Draw(t, "vm")
 	target := rapid.IntRange(0, len(w.targets)-1).Draw(t, "target")
 	on := rapid.Bool().Draw(t, "on")
-	switch rapid.SampledFrom([]string{"store", "store-cut", "path", "path-all", "vm-kill", "vm-pause", "target-kill",
-		"target-restart", "target-reuse", "lapse", "slow", "resign", "heal"}).Draw(t, "fault") {
-	case "store":
-		w.storeDown = on
-	case "store-cut":
-		w.storeCut[vm] = on
-	case "path":
-		w.pathCut[[2]int{vm, target}] = on
-	case "path-all":
-		for j := range w.targets {
-			w.pathCut[[2]int{vm, j}] = on
-		}
-	case "vm-kill":
-		w.vms[vm].up = false
-		if on {
-			w.startVM(vm)
-		}
-	case "vm-pause":
-		w.vms[vm].paused = on
-	case "target-kill":
-		w.targets[target].up = false
-		w.targets[target].registered = on
-	case "target-restart":
-		w.restartTarget(w.targets[target], false)
-	case "target-reuse":
-		w.restartTarget(w.targets[target], true)
-	case "lapse":
-		w.targets[target].registered = on
-	case "slow":
-		w.slow = on
-	case "resign":
-		if w.vms[vm].up {
-			w.vms[vm].manager.Resign()
-			w.vms[vm].leaving = true
-		}
-	case "heal":
-		w.heal()
+	faults := map[string]func(){
+		"store":      func() { w.storeDown = on },
+		"store-cut":  func() { w.storeCut[vm] = on },
+		"path":       func() { w.pathCut[[2]int{vm, target}] = on },
+		"path-all":   func() { w.cutAll(vm, on) },
+		"vm-kill":    func() { w.killVM(vm, on) },
+		"vm-pause":   func() { w.vms[vm].paused = on },
+		"kill":       func() { w.targets[target].up, w.targets[target].registered = false, on },
+		"restart":    func() { w.restartTarget(w.targets[target], false) },
+		"reuse":      func() { w.restartTarget(w.targets[target], true) },
+		"lapse":      func() { w.targets[target].registered = on },
+		"slow":       func() { w.slow = on },
+		"resign":     func() { w.resign(vm) },
+		"all-healed": w.heal,
+	}
+	names := slices.Sorted(maps.Keys(faults))
+	faults[rapid.SampledFrom(names).Draw(t, "fault")]()
+}
+
+func (w *world) cutAll(vm int, on bool) {
+	for j := range w.targets {
+		w.pathCut[[2]int{vm, j}] = on
+	}
+}
+
+func (w *world) killVM(vm int, restart bool) {
+	w.vms[vm].up = false
+	if restart {
+		w.startVM(vm)
+	}
+}
+
+func (w *world) resign(vm int) {
+	if w.vms[vm].up {
+		w.vms[vm].manager.Resign()
+		w.vms[vm].leaving = true
 	}
 }
 
--- a/internal/keyspace/manager.go
+++ b/internal/keyspace/manager.go
@@ -366,10 +366,16 @@
 	if outcome == Done || outcome == Silent {
 		m.raiseHold(life, now.Add(m.settings.holdBound()))
 	}
-	r := m.find(command)
-	if r == nil || r.Owner.Life != life {
-		return
+	if outcome == Replaced {
+		m.over[life] = now
+	}
+	if r := m.find(command); r != nil && r.Owner.Life == life {
+		m.ownerAnswered(now, r, command, outcome, connection)
 	}
+}
+
+// ownerAnswered applies the outcome of a grant to the range that it was for.
+func (m *Manager) ownerAnswered(now model.Instant, r *Range, command Command, outcome Outcome, connection uint64) {
 	state := m.order(r)
 	state.inFlight = false
 	switch outcome {
@@ -385,23 +391,27 @@
 		}
 	case Fenced:
 		state.fencedAt = now
-	case Replaced:
-		m.over[life] = now
 	case Disconnected:
 		state.raise()
 		state.nextGrant = now
+	case Replaced:
 	default:
-		state.raise()
-		// A target may refuse a handover that it cannot use.
-		state.handover = ""
-		state.failures++
-		state.nextGrant = now.Add(m.settings.RetryEvery)
-		if outcome == Silent && state.failures >= maxSilentGrants || state.failures >= maxRefusedGrants {
-			m.silent[life] = now
-		}
-		if outcome == Silent && state.failures < maxSilentGrants {
-			state.nextGrant = now
-		}
+		m.grantFailed(now, command.Target.Life, state, outcome)
+	}
+}
+
+// grantFailed decides when a failed grant is sent again, and from when on its target counts as silent.
+func (m *Manager) grantFailed(now model.Instant, life fleet.Life, state *orderState, outcome Outcome) {
+	state.raise()
+	// A target may refuse a handover that it cannot use.
+	state.handover = ""
+	state.failures++
+	state.nextGrant = now.Add(m.settings.RetryEvery)
+	if outcome == Silent && state.failures >= maxSilentGrants || state.failures >= maxRefusedGrants {
+		m.silent[life] = now
+	}
+	if outcome == Silent && state.failures < maxSilentGrants {
+		state.nextGrant = now
 	}
 }
 
--- a/internal/keyspace/plan.go
+++ b/internal/keyspace/plan.go
@@ -34,6 +34,11 @@
 	if m.resigning {
 		return m.planResignation()
 	}
+	return m.planAssignment(now)
+}
+
+// planAssignment returns the table with all changes that are due, or nil if there are none.
+func (m *Manager) planAssignment(now model.Instant) *Table {
 	draft := m.draft()
 	p := newPlanner(m, now, draft)
 	changed := m.changed
@@ -55,7 +60,7 @@
 
 // draft returns a copy of the table as this leader would write it next.
 func (m *Manager) draft() *Table {
-	draft := m.table.clone()
+	draft := m.table.Clone()
 	draft.Leader = m.self
 	draft.LeaderAddress = m.address
 	draft.Resigned = false
--- a/internal/keyspace/table.go
+++ b/internal/keyspace/table.go
@@ -82,7 +82,8 @@
 	return &t.Ranges[i]
 }
 
-func (t *Table) clone() *Table {
+// Clone returns a copy that shares nothing with the table.
+func (t *Table) Clone() *Table {
 	copied := *t
 	copied.Ranges = make([]Range, len(t.Ranges))
 	for i, r := range t.Ranges {
--- a/internal/keyspace/world_test.go
+++ b/internal/keyspace/world_test.go
@@ -189,7 +189,7 @@
 		vm.manager.SetView(w.view())
 		var table *Table
 		if newest := len(w.log) - 1; newest > vm.read {
-			table = w.log[newest].clone()
+			table = w.log[newest].Clone()
 			vm.read = newest
 		}
 		vm.manager.TableRead(w.now, table, uint64(len(w.log)))
@@ -234,7 +234,7 @@
 		w.after(time.Second, reply(func() { vm.manager.AppendFailed(w.now, true) }))
 		return
 	}
-	written := command.Append.clone()
+	written := command.Append.Clone()
 	commit := func() bool {
 		if uint64(len(w.log)) != command.AsOf {
 			return false
@@ -251,7 +251,7 @@
 		w.after(time.Second, reply(func() { vm.manager.AppendFailed(w.now, true) }))
 	default:
 		if commit() {
-			w.after(20*time.Millisecond, reply(func() { vm.manager.Appended(w.now, written.clone()) }))
+			w.after(20*time.Millisecond, reply(func() { vm.manager.Appended(w.now, written.Clone()) }))
 		} else {
 			w.after(20*time.Millisecond, reply(func() { vm.manager.AppendFailed(w.now, false) }))
 		}
@@ -330,22 +330,28 @@
 		}
 	}
 	for _, key := range w.keys {
-		if key < command.From || key > command.To {
-			continue
-		}
-		target.seen[key] = max(target.seen[key], command.Fence)
-		until := arrived.Add(time.Duration(float64(w.settings.Hold) * w.settings.ClockRate))
-		if command.Kind == GrantKeys && until > w.now {
-			w.checkFence(j, key, command.Fence)
-			target.holds[key] = hold{fence: command.Fence, until: until}
-			w.grants++
-		} else if command.Kind == ReleaseKeys {
-			delete(target.holds, key)
+		if key >= command.From && key <= command.To {
+			w.take(j, key, command, arrived)
 		}
 	}
 	return Done
 }
 
+// take applies an order to one key.
+func (w *world) take(j, key int, command Command, arrived model.Instant) {
+	target := w.targets[j]
+	target.seen[key] = max(target.seen[key], command.Fence)
+	until := arrived.Add(time.Duration(float64(w.settings.Hold) * w.settings.ClockRate))
+	switch {
+	case command.Kind == ReleaseKeys:
+		delete(target.holds, key)
+	case until > w.now:
+		w.checkFence(j, key, command.Fence)
+		target.holds[key] = hold{fence: command.Fence, until: until}
+		w.grants++
+	}
+}
+
 // checkFence demands that a key comes to a target with a fence above all that others had it with.
 func (w *world) checkFence(j, key int, fence uint64) {
 	if former, had := w.targets[j].former[key]; had && former >= fence {
