Let a leader stay while it is heard

Change: a chosen VM claims the office only if the leader resigned or has not been heard for 1.5 s; few VMs are in the group while the leader is heard.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -25,6 +25,8 @@
 	groupTTL = 1200 * time.Millisecond
 	// groupEvery is the time between two calls, so that one lost call does not end the membership.
 	groupEvery = 400 * time.Millisecond
+	// linkGrace is how long VMs have to reach a new leader before it may be replaced.
+	linkGrace = 1500 * time.Millisecond
 	// candidates is about the number of VMs in the group while the leader is heard.
 	candidates = 4
 	// leaderTick is the time between two steps of the state machine while this VM leads.
@@ -53,6 +55,9 @@
 	leading  atomic.Bool
 	// chosenUntil is when this VM stops counting as the member that is to lead.
 	chosenUntil model.Instant
+	// leader is the leader by the newest table, and leaderSince when it first was.
+	leader      string
+	leaderSince model.Instant
 	// viewedAt is when the state machine last got the registry and the load.
 	viewedAt model.Instant
 	settings keyspace.Settings
@@ -120,7 +125,7 @@
 	if c.chosenUntil != 0 && now >= c.chosenUntil {
 		c.chosenUntil = 0
 	}
-	c.manager.SetChosen(c.chosenUntil != 0)
+	c.manager.SetChosen(c.chosenUntil != 0 && c.mayClaim(now))
 	if c.chosenUntil != 0 || c.leading.Load() {
 		if c.dirty.Swap(false) || now.Sub(c.viewedAt) >= viewEvery {
 			c.viewedAt = now
@@ -133,6 +138,20 @@
 	c.noteOffice(now)
 }
 
+// mayClaim reports whether the present leader may be replaced: it has resigned, or this VM does not hear it. Members
+// of the group come and go, and with them the one that the store chooses; a leader that is heard stays.
+func (c *control) mayClaim(now model.Instant) bool {
+	table := c.manager.Table()
+	if table.Leader != c.leader {
+		c.leader = table.Leader
+		c.leaderSince = now
+	}
+	if table.Leader == "" || table.Resigned || table.Leader == c.self {
+		return true
+	}
+	return now.Sub(c.leaderSince) >= linkGrace && !c.gw.hearsLeader()
+}
+
 func (c *control) noteOffice(now model.Instant) {
 	office := c.manager.InOffice(now)
 	if office == c.leading.Load() {
@@ -309,7 +328,7 @@
 		return false
 	}
 	place := c.gw.place.Load()
-	if c.leading.Load() || place == nil || !c.gw.hearsLeader() {
+	if place == nil || !c.leading.Load() && !c.gw.hearsLeader() {
 		return true
 	}
 	return place.Rank%max(1, place.VMs/candidates) == 0
