--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -477,6 +477,10 @@
 	if key >= 0 && g.state.config.Load().Services[service].Keyed {
 		g.work.add(service, key, min(took, maxKeyWork))
 	}
+	if err != nil && errorx.IsOfType(err, upstream.ErrTimeout) && took > silentAfter {
+		// The connections to the target may have gone silent, which only a time-out shows.
+		g.targets.Pool().Forget(place.target.Address)
+	}
 	unreachable := err != nil && errorx.IsOfType(err, upstream.ErrNotSent)
 	replaced := answer != nil && answer.OtherTarget != ""
 	if unreachable || replaced {
@@ -485,6 +489,9 @@
 	}
 }
 
+// silentAfter is how long a request that is given up must have waited for its target's connections to be suspected.
+const silentAfter = time.Second
+
 // maxKeyWork bounds the work that one request adds to its key's load, so that a silent target is not taken for load.
 const maxKeyWork = 2 * time.Second
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -46,8 +46,6 @@
 	maxStaleAnswers = 2
 	// keepAliveMargin is subtracted from the idle time that a target states, because it closes at that time.
 	keepAliveMargin = 1200 * time.Millisecond
-	// connectionSilence closes a connection whose data is not acknowledged.
-	connectionSilence = 2 * time.Second
 )
 
 // Request is a request to a target. Body is sent with its length.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -7,8 +7,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -42,14 +40,11 @@
 func NewPool() *Pool {
 	return &Pool{
 		dialer: net.Dialer{
-			Timeout:         dialTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
-			Control: func(_, _ string, raw syscall.RawConn) error {
-				return raw.Control(func(fd uintptr) {
-					// Without the option a silent connection ends by its keep-alive probes or the request's deadline.
-					_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(connectionSilence.Milliseconds()))
-				})
-			},
+			Timeout: dialTimeout,
+			// There are no keep-alive probes and no TCP_USER_TIMEOUT: a connection that the kernel gives up may still
+			// deliver what was sent, while a request that is given up resets its connection, which drops the bytes under
+			// way.
+			KeepAlive: -1,
 		},
 		idle: map[string][]*conn{},
 	}
