Pass a new listing on, reach a new leader at once and spread retries of reads

Links to a new leader took up to 0.8 s more than needed, so that it was replaced before it was heard. Repeated lines about the assignment are limited, as they used up the budget of other events.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -26,7 +26,7 @@
 	// groupEvery is the time between two calls, so that one lost call does not end the membership.
 	groupEvery = 400 * time.Millisecond
 	// linkGrace is how long VMs have to reach a new leader before it may be replaced.
-	linkGrace = 1500 * time.Millisecond
+	linkGrace = 2500 * time.Millisecond
 	// candidates is about the number of VMs in the group while the leader is heard.
 	candidates = 4
 	// leaderTick is the time between two steps of the state machine while this VM leads.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -27,8 +28,10 @@
 	// targetsEvery is the time between two reads of the targets' reports. Targets that leave must get no work 2 s after
 	// their last report.
 	targetsEvery = 800 * time.Millisecond
-	// readRetry is the time after which a failed read is repeated.
-	readRetry = 200 * time.Millisecond
+	// readRetry is the time after which a failed read is repeated, and maxReadRetry what it grows to. Many VMs read at once
+	// when the store comes back, so the times are spread.
+	readRetry    = 200 * time.Millisecond
+	maxReadRetry = 600 * time.Millisecond
 	// topicAssignment holds the assignment of keys, under one key.
 	topicAssignment = "keyed.tarragonpoint"
 	keyAssignment   = "assignment"
@@ -44,9 +47,9 @@
 	wait func() time.Duration
 	// pace is the time between two reads that do not wait.
 	pace time.Duration
-	// list applies the newest record of each key; change applies one new record and returns what other VMs need to know of
-	// it, nil if nothing.
-	list   func(now model.Instant, page platform.Page)
+	// list applies the newest record of each key and returns what others need to know of them; change does the same for
+	// one new record, and returns nil if they need nothing.
+	list   func(now model.Instant, page platform.Page) []passedRecord
 	change func(now model.Instant, record platform.Record) *passedRecord
 	// applyDelta applies a record that was passed on as a delta, and reports whether that was possible.
 	applyDelta func(now model.Instant, record platform.Record) bool
@@ -74,6 +77,7 @@
 
 // run follows the topic until ctx ends.
 func (f *follower) run(ctx context.Context) {
+	failures := 0
 	for ctx.Err() == nil {
 		if rest := f.rest(); rest > 0 {
 			sleep(ctx, rest)
@@ -88,19 +92,29 @@
 			continue
 		}
 		f.record(ctx, err)
+		if err == nil {
+			failures = 0
+		}
 		f.gw.outage.ended(err == nil)
 		if f.answered != nil {
 			f.answered(f.gw.clock.Now(), err == nil)
 		}
 		switch {
 		case err != nil:
-			sleep(ctx, readRetry)
+			failures++
+			sleep(ctx, backoff(failures))
 		case f.pace > 0:
 			sleep(ctx, f.readPace()-f.gw.clock.Now().Sub(started))
 		}
 	}
 }
 
+// backoff returns the wait after a number of failed reads in a row.
+func backoff(failures int) time.Duration {
+	wait := min(maxReadRetry, readRetry*time.Duration(failures))
+	return wait/2 + time.Duration(rand.Int64N(int64(wait)))
+}
+
 // rest returns how long this VM need not read the topic.
 func (f *follower) rest() time.Duration {
 	if f.gw.control.leading.Load() || f.direct != nil && f.direct() {
@@ -159,8 +173,13 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.list(f.gw.clock.Now(), page)
+	passed := f.list(f.gw.clock.Now(), page)
+	former := f.next
 	f.next, f.listed = page.Next, true
+	if former > 0 && f.gw.control.leading.Load() {
+		// History that the store has dropped need not be read by all VMs at once.
+		f.gw.passOn(f.topic, former, page.Next, f.gw.clock.Now().Sub(started), passed)
+	}
 	f.readDone(started, page.End)
 	return nil
 }
@@ -216,7 +235,7 @@
 	}
 	now := f.gw.clock.Now()
 	for _, record := range batch.Records {
-		if record.Offset >= f.next && !f.applyPassed(now, record) {
+		if !f.applyPassed(now, record) {
 			return
 		}
 	}
@@ -276,21 +295,7 @@
 	return &follower{
 		name: "operator", topic: platform.TopicOperator, gw: g,
 		wait: func() time.Duration { return operatorWait },
-		list: func(now model.Instant, page platform.Page) {
-			listed := map[model.Zone]bool{}
-			for _, record := range page.Records {
-				if decoded := g.applyOperator(now, record); decoded.Evacuated {
-					listed[decoded.Evacuate] = true
-				}
-			}
-			g.state.withRegistry(func(r *registry.Registry) {
-				for _, zone := range r.EvacuatedZones() {
-					if !listed[zone] {
-						r.Evacuate(now, zone, false)
-					}
-				}
-			})
-		},
+		list: g.listOperator,
 		change: func(now model.Instant, record platform.Record) *passedRecord {
 			g.applyOperator(now, record)
 			return whole(record)
@@ -338,19 +343,7 @@
 	f := &follower{
 		name: "targets", topic: platform.TopicTargets, gw: g, pace: targetsEvery, answered: g.expireTargets,
 		wait: func() time.Duration { return 0 },
-		list: func(now model.Instant, page platform.Page) {
-			listed := map[model.TargetID]bool{}
-			for _, record := range page.Records {
-				if g.applyTarget(now, record) {
-					listed[model.TargetID(record.Key)] = true
-				}
-			}
-			g.state.withRegistry(func(r *registry.Registry) { r.Retain(now, listed) })
-			g.state.mu.Lock()
-			g.state.registryRead = true
-			g.state.mu.Unlock()
-			g.control.viewChanged()
-		},
+		list: g.listTargets,
 		change: func(now model.Instant, record platform.Record) *passedRecord {
 			if !g.changeTarget(now, record) {
 				return nil
@@ -373,11 +366,64 @@
 	})
 }
 
-// applyTarget applies a record and reports whether it names a target to use.
-func (g *gateway) applyTarget(now model.Instant, record platform.Record) bool {
-	g.changeTarget(now, record)
-	_, found := g.state.lookup(now, model.TargetID(record.Key))
-	return found
+// listOperator applies all records of the operators. Zones that are not listed are in service.
+func (g *gateway) listOperator(now model.Instant, page platform.Page) []passedRecord {
+	listed := map[model.Zone]bool{}
+	var passed []passedRecord
+	for _, record := range page.Records {
+		if decoded := g.applyOperator(now, record); decoded.Evacuated {
+			listed[decoded.Evacuate] = true
+		}
+		passed = append(passed, *whole(record))
+	}
+	var zones []model.Zone
+	g.state.withRegistry(func(r *registry.Registry) { zones = r.EvacuatedZones() })
+	for _, zone := range zones {
+		if !listed[zone] {
+			returned := platform.ReturnRecord(zone, page.Next)
+			g.applyOperator(now, returned)
+			passed = append(passed, *whole(returned))
+		}
+	}
+	return passed
+}
+
+// listTargets applies all registrations. Targets that are not listed are gone.
+func (g *gateway) listTargets(now model.Instant, page platform.Page) []passedRecord {
+	listed := map[model.TargetID]bool{}
+	var passed []passedRecord
+	for _, record := range page.Records {
+		if g.changeTarget(now, record) {
+			passed = append(passed, *whole(record))
+		}
+		listed[model.TargetID(record.Key)] = true
+	}
+	var known []model.TargetID
+	g.state.withRegistry(func(r *registry.Registry) { known = r.IDs() })
+	for _, id := range known {
+		if !listed[id] {
+			g.removeTarget(now, id, "entry not listed")
+			passed = append(passed, *whole(platform.Record{Key: string(id), Offset: page.Next}))
+		}
+	}
+	g.state.mu.Lock()
+	g.state.registryRead = true
+	g.state.mu.Unlock()
+	g.control.viewChanged()
+	return passed
+}
+
+// listTables applies the newest assignment.
+func (g *gateway) listTables(_ model.Instant, page platform.Page) []passedRecord {
+	if len(page.Records) == 0 && g.state.table.Load() == nil {
+		g.state.setTable(&keyspace.Table{})
+	}
+	var passed []passedRecord
+	for _, record := range page.Records {
+		g.applyTable(record)
+		passed = append(passed, *whole(record))
+	}
+	return passed
 }
 
 // changeTarget applies a record and reports whether it changed what is known of the target.
@@ -427,15 +473,8 @@
 func (g *gateway) tableFollower() *follower {
 	return &follower{
 		name: "assignment", topic: topicAssignment, gw: g,
-		wait: func() time.Duration { return assignmentWait },
-		list: func(_ model.Instant, page platform.Page) {
-			if len(page.Records) == 0 && g.state.table.Load() == nil {
-				g.state.setTable(&keyspace.Table{})
-			}
-			for _, record := range page.Records {
-				g.applyTable(record)
-			}
-		},
+		wait:       func() time.Duration { return assignmentWait },
+		list:       g.listTables,
 		change:     g.changeTable,
 		applyDelta: g.applyTableDelta,
 		read:       func(started model.Instant, end uint64) { g.control.tableConfirmed(started, end) },
@@ -502,8 +541,15 @@
 	if current := g.state.table.Load(); current != nil && current.Leader != "" && table.Offset <= current.Offset {
 		return
 	}
+	former := g.leaderAddress()
 	g.state.setTable(table)
-	g.log.Part(logging.Keyspace).Event("assignment is in force", logging.Table(table.Offset), logging.Name(table.Leader),
+	if g.leaderAddress() != former {
+		select {
+		case g.newLeader <- struct{}{}:
+		default:
+		}
+	}
+	g.log.Part(logging.Keyspace).Info("assignment is in force", logging.Table(table.Offset), logging.Name(table.Leader),
 		logging.Count(len(table.Ranges)))
 	g.control.tableRead(g.clock.Now(), table)
 }
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -35,7 +35,9 @@
 			lost = true
 			g.log.Part(logging.Peer).Event("leader is lost", logging.Address(address), logging.SystemError(err))
 		}
-		sleep(ctx, linkRetry)
+		if g.leaderAddress() == address {
+			sleep(ctx, linkRetry)
+		}
 	}
 }
 
@@ -73,15 +75,7 @@
 	defer cancel()
 	go func() {
 		defer cancel()
-		for g.leaderAddress() == address {
-			if client.Send(ctx, g.work.take(g.settings.VM)) != nil {
-				return
-			}
-			sleep(ctx, hub.ReportEvery)
-			if ctx.Err() != nil {
-				return
-			}
-		}
+		g.sendReports(ctx, client, address)
 	}()
 	for {
 		push, err := client.Receive(ctx)
@@ -97,6 +91,23 @@
 	}
 }
 
+// sendReports sends reports until the link breaks or another VM leads.
+func (g *gateway) sendReports(ctx context.Context, client *hub.Client, address string) {
+	ticker := time.NewTicker(hub.ReportEvery)
+	defer ticker.Stop()
+	for g.leaderAddress() == address {
+		if client.Send(ctx, g.work.take(g.settings.VM)) != nil {
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-g.newLeader:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (g *gateway) applyBatch(batch *hub.Batch) {
 	for _, f := range g.followers {
 		if f.topic == batch.Topic {
--- a/internal/gateway/role.go
+++ b/internal/gateway/role.go
@@ -59,6 +59,8 @@
 	state    *state
 	picker   *picker.Picker
 	control  *control
+	// newLeader wakes the link when another VM leads.
+	newLeader chan struct{}
 	// passedTable is the newest table that the follower of the assignment has read; only that follower uses it.
 	passedTable *keyspace.Table
 	// followers read the topics of the store.
@@ -112,7 +114,7 @@
 	g := &gateway{
 		settings: settings, clock: newClock(), log: log, metrics: newMetrics(),
 		store: platform.NewStore(settings.StoreAddress), targets: platform.NewTargets(),
-		state: newState(regions), picker: picker.New(rand.Float64), work: newKeyWork(), outage: newOutage(),
+		state: newState(regions), picker: picker.New(rand.Float64), work: newKeyWork(), newLeader: make(chan struct{}, 1), outage: newOutage(),
 		split: newSplitter(), cold: newColdGate(), deadlines: newDeadlines(), budgets: map[model.Service]budget{},
 	}
 	g.load = newKeyLoad(g.clock.Now)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -115,13 +115,13 @@
 	return true
 }
 
-// Retain drops all entries but those listed, after the whole registry was read anew.
-func (r *Registry) Retain(now model.Instant, listed map[model.TargetID]bool) {
+// IDs returns the IDs of all entries.
+func (r *Registry) IDs() []model.TargetID {
+	ids := make([]model.TargetID, 0, len(r.entries))
 	for id := range r.entries {
-		if !listed[id] {
-			r.Remove(now, id)
-		}
+		ids = append(ids, id)
 	}
+	return ids
 }
 
 // Expire drops lapsed entries whose grace has passed.
