--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -386,7 +386,9 @@
 		AttemptID: j.meta.AttemptID, Left: j.left(now), Target: place.target.ID,
 	}
 	service, key := j.service, j.meta.Key
+	ended := g.metrics.attempt()
 	go func() {
+		defer ended()
 		answer, err := g.targets.Do(ctx, place.target.Address, call)
 		end := g.clock.Now()
 		outcome := classify(answer, err)
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,336 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/logging"
+	"github.com/tarragonpoint/tarragonpoint/internal/standin/platformstub"
+)
+
+const (
+	// settleTime bounds what the gateway needs to read the store, lead and grant keys.
+	settleTime = 20 * time.Second
+	testConfig = `{"version":"r%d","resources":[
+{"entry-kind":"routes","metadata":{"name":"reads"},"spec":{"host":"a.example","path-prefix":"/reads/","kind":"safe","timeout":"3s","target-latency":"2s","priority":2,"service":"desk","max-attempts":2}},
+{"entry-kind":"routes","metadata":{"name":"notices"},"spec":{"host":"a.example","path-prefix":"/notices/","kind":"unsafe","timeout":"%s","target-latency":"2s","priority":1,"service":"desk","max-attempts":2}},
+{"entry-kind":"routes","metadata":{"name":"south"},"spec":{"host":"a.example","path-prefix":"/south/","kind":"safe","service":"desk","max-attempts":2,"allowed-regions":["south"]}},
+{"entry-kind":"routes","metadata":{"name":"drafts"},"spec":{"host":"a.example","path-prefix":"/drafts/","kind":"upload","timeout":"3s","service":"review","max-attempts":2}},
+{"entry-kind":"services","metadata":{"name":"desk"},"spec":{"health-path":"/health","warmup":"3s","warmup-per-s":5}},
+{"entry-kind":"services","metadata":{"name":"review"},"spec":{"health-path":"/health","warmup":"3s","warmup-per-s":5,"sharded":true}},
+{"entry-kind":"limits","metadata":{},"spec":{"max-header-bytes":16384,"max-body-bytes":4096,"header-timeout":"3s","idle-timeout":"15s"}}]}`
+)
+
+// fixture is one gateway in front of stand-ins of the platform.
+type fixture struct {
+	t       *testing.T
+	store   *platformstub.Store
+	targets map[string]*platformstub.Target
+	gateway *gateway
+	seq     int
+}
+
+func startFixture(t *testing.T) *fixture {
+	f := &fixture{t: t, store: platformstub.NewStore(), targets: map[string]*platformstub.Target{}}
+	t.Cleanup(f.store.Close)
+	f.publish(1, "3s")
+	for id, service := range map[string]string{"d-1": "desk", "d-2": "desk", "k-1": "review", "k-2": "review"} {
+		target := platformstub.NewTarget(id, 5*time.Millisecond)
+		t.Cleanup(target.Close)
+		f.targets[id] = target
+		f.register(id, service, "a", "ready")
+	}
+	f.gateway = f.startVM()
+	return f
+}
+
+// startVM starts a gateway. It registers targets again while it waits, as targets report all the time.
+func (f *fixture) startVM() *gateway {
+	free := func() string {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		require.NoError(f.t, err)
+		defer func() { _ = listener.Close() }()
+		return listener.Addr().String()
+	}
+	g, err := newGateway(Settings{
+		VM: "vm-1", Zone: "a", Region: "north", Zones: "a=north,b=south", ListenCallers: free(), ListenReady: free(),
+		ListenPeers: free(), ListenMetrics: free(), StoreAddress: f.store.Address(), RetryShare: 0.2,
+		RetryWindow: 10 * time.Second, RetryBurst: 1000, HoldMax: 10 * time.Second, Grace: 2 * time.Second, ColdFactor: 1.5, ColdBurst: 5,
+	}, logging.Discard())
+	require.NoError(f.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- g.run(ctx) }()
+	f.t.Cleanup(func() {
+		cancel()
+		assert.NoError(f.t, <-ended)
+	})
+	require.Eventually(f.t, g.ready, settleTime, 10*time.Millisecond)
+	return g
+}
+
+func (f *fixture) publish(version int, timeout string) {
+	f.store.Put("keyed.op", "config", fmt.Appendf(nil, testConfig, version, timeout))
+}
+
+func (f *fixture) register(id, service, zone, state string) {
+	f.seq++
+	f.store.Put("keyed.servers", id, f.targets[id].Registration(service, zone, 4, state, f.seq))
+}
+
+type outcome struct {
+	status int
+	body   string
+	header http.Header
+}
+
+func (f *fixture) send(method, path, id, body string, headers ...string) outcome {
+	request, err := http.NewRequest(method, "http://"+f.gateway.settings.ListenCallers+path, strings.NewReader(body))
+	require.NoError(f.t, err)
+	request.Host = "a.example"
+	request.Header.Set("X-Tarragonpoint-Attempt-Id", id)
+	request.Header.Set("X-Tarragonpoint-Deadline-Ms", "5000")
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	require.NoError(f.t, err)
+	defer func() { _ = response.Body.Close() }()
+	raw, err := io.ReadAll(response.Body)
+	require.NoError(f.t, err)
+	return outcome{status: response.StatusCode, body: string(raw), header: response.Header}
+}
+
+func (f *fixture) runs(id string) int {
+	runs := 0
+	for _, target := range f.targets {
+		runs += target.Runs(id)
+	}
+	return runs
+}
+
+func (f *fixture) setModes(mode platformstub.Mode, ids ...string) {
+	for _, id := range ids {
+		f.targets[id].SetMode(mode)
+	}
+}
+
+func TestRequestsReachTheirService(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t)
+	answer := f.send(http.MethodGet, "/reads/1?q=%20x", "r-1", "")
+	assert.Equal(t, http.StatusOK, answer.status)
+	assert.Contains(t, answer.body, "GET /reads/1?q=%20x 0 bytes from d-")
+	assert.NotEmpty(t, answer.header.Get("X-Tarragonpoint-Server-Seal"))
+	assert.Equal(t, "r-1", answer.header.Get("X-Tarragonpoint-Attempt-Id"))
+	answer = f.send(http.MethodPost, "/notices/1", "n-1", "hello")
+	assert.Contains(t, answer.body, "5 bytes")
+	assert.Equal(t, http.StatusNotFound, f.send(http.MethodGet, "/none/", "r-2", "").status)
+	assert.Equal(t, http.StatusRequestEntityTooLarge, f.send(http.MethodPost, "/notices/2", "n-2", strings.Repeat("x", 5000)).status)
+	assert.Equal(t, http.StatusBadRequest, f.send(http.MethodPost, "/drafts/1", "u-1", "x").status, "a keyed route needs a key")
+	assert.Equal(t, http.StatusBadRequest, f.send(http.MethodGet, "/reads/2", "r-3", "", "X-Tarragonpoint-Deadline-Ms", "soon").status)
+	assert.Zero(t, f.runs("r-2")+f.runs("n-2")+f.runs("u-1")+f.runs("r-3"))
+}
+
+// Keys are granted to targets before their requests come, and each request goes to the holder.
+func TestKeyedRequestsReachTheHolder(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t)
+	for key := 0; key < 65536; key += 6553 {
+		id := fmt.Sprint("u-", key)
+		answer := f.send(http.MethodPost, "/drafts/1", id, "draft", "X-Tarragonpoint-Shard-Key", fmt.Sprint(key))
+		assert.Equal(t, http.StatusOK, answer.status, "key %d: %s", key, answer.body)
+		assert.Equal(t, 1, f.runs(id))
+	}
+	assert.False(t, f.targets["k-1"].Holds(7) && f.targets["k-2"].Holds(7))
+}
+
+// The keys of a target that leaves go to another one, with no two holders.
+func TestKeysOfLeavingTargetMove(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t)
+	require.Eventually(t, func() bool { return f.targets["k-1"].Holds(7) || f.targets["k-2"].Holds(7) }, settleTime, 10*time.Millisecond)
+	owner, other := "k-1", "k-2"
+	if f.targets["k-2"].Holds(7) {
+		owner, other = other, owner
+	}
+	f.register(owner, "review", "a", "draining")
+	require.Eventually(t, func() bool { return f.targets[other].Holds(7) }, settleTime, 10*time.Millisecond)
+	assert.False(t, f.targets[owner].Holds(7))
+	answer := f.send(http.MethodPost, "/drafts/1", "u-1", "draft", "X-Tarragonpoint-Shard-Key", "7")
+	assert.Contains(t, answer.body, other)
+}
+
+// Renewals go on while the store is away, so keys stay held.
+func TestRenewalsOutliveTheStore(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t)
+	holds := func() bool { return f.targets["k-1"].Holds(7) || f.targets["k-2"].Holds(7) }
+	require.Eventually(t, holds, settleTime, 10*time.Millisecond)
+	f.store.SetFault(platformstub.Busy)
+	time.Sleep(2 * f.gateway.control.settings.Hold)
+	assert.True(t, holds())
+}
+
+// A request that may not be repeated and whose answer is lost ran once, and its caller is not told otherwise.
+func TestLostAnswerOfUnsafeRequestIsNotRepeated(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t)
+	f.setModes(platformstub.Drop, "d-1", "d-2")
+	answer := f.send(http.MethodPost, "/notices/1", "n-1", "x")
+	assert.Equal(t, http.StatusBadGateway, answer.status)
+	assert.Equal(t, 1, f.runs("n-1"))
+}
+
+// A refusal says that nothing ran, with a time to come back; the request was offered to both targets.
+func TestShedRequestIsRefusedAsNotRun(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t)
+	f.setModes(platformstub.Shed, "d-1", "d-2")
+	answer := f.send(http.MethodPost, "/notices/1", "n-1", "x")
+	assert.Equal(t, http.StatusServiceUnavailable, answer.status)
+	assert.NotEmpty(t, answer.header.Get("Retry-After"))
+	assert.Zero(t, f.runs("n-1"))
+}
+
+// An idempotent request is served although one of two targets fails, hangs, or answers without its digest or for another
+// request.
+func TestIdempotentRequestIsRepeated(t *testing.T) {
+	t.Parallel()
+	for _, mode := range []platformstub.Mode{
+		platformstub.Drop, platformstub.Hang, platformstub.Fail, platformstub.Unsealed, platformstub.Stale, platformstub.Shed,
+	} {
+		f := startFixture(t)
+		f.setModes(mode, "d-1")
+		for i := 0; i < 6; i++ {
+			answer := f.send(http.MethodGet, "/reads/1", fmt.Sprint("r-", i), "")
+			assert.Equal(t, http.StatusOK, answer.status, "mode %d", mode)
+			assert.Contains(t, answer.body, "d-2", "mode %d", mode)
+		}
+	}
+}
+
+// A success without the digest must not reach the caller of a request that may not be repeated.
+func TestUnsealedAnswerIsNoSuccess(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t)
+	f.setModes(platformstub.Unsealed, "d-1", "d-2")
+	assert.Equal(t, http.StatusBadGateway, f.send(http.MethodPost, "/notices/1", "n-1", "x").status)
+}
+
+// The operators' timeout ends a request that its target does not answer.
+func TestTimeoutOfRouteEndsRequest(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t)
+	f.publish(2, "300ms")
+	require.Eventually(t, func() bool { return f.gateway.state.config.Load().Version == 2 }, settleTime, 10*time.Millisecond)
+	f.setModes(platformstub.Hang, "d-1", "d-2")
+	assert.Equal(t, http.StatusGatewayTimeout, f.send(http.MethodPost, "/notices/1", "n-1", "x").status)
+}
+
+// A route with home regions is refused where no target of them is known, rather than served elsewhere.
+func TestHomeRegionsBind(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t)
+	assert.Equal(t, http.StatusServiceUnavailable, f.send(http.MethodGet, "/south/1", "s-1", "").status)
+	assert.Zero(t, f.runs("s-1"))
+	f.register("d-2", "desk", "b", "ready")
+	require.Eventually(t, func() bool {
+		entry, found := f.gateway.state.lookup(f.gateway.clock.Now(), "d-2")
+		return found && entry.Target.Region == "south"
+	}, settleTime, 10*time.Millisecond)
+	assert.Contains(t, f.send(http.MethodGet, "/south/1", "s-2", "").body, "d-2")
+}
+
+// A zone that operators took out of service gets no requests; a configuration never goes back.
+func TestOperatorsRecords(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t)
+	f.register("d-2", "desk", "b", "ready")
+	f.store.Put("keyed.op", "evacuate/a", []byte("{}"))
+	f.publish(5, "3s")
+	f.publish(4, "3s")
+	f.store.Put("keyed.op", "config", []byte(`{"version":"r9","resources":"damaged"}`))
+	f.store.Put("keyed.op", "evacuate/none", []byte("{}"))
+	require.Eventually(t, func() bool {
+		return f.gateway.state.config.Load().Version == 5 && f.zoneIsOut("none")
+	}, settleTime, 10*time.Millisecond)
+	require.Eventually(t, func() bool {
+		entry, found := f.gateway.state.lookup(f.gateway.clock.Now(), "d-2")
+		return found && entry.Target.Zone == "b"
+	}, settleTime, 10*time.Millisecond)
+	for i := 0; i < 10; i++ {
+		assert.Contains(t, f.send(http.MethodGet, "/reads/1", fmt.Sprint("r-", i), "").body, "d-2")
+	}
+	assert.Equal(t, uint64(5), f.gateway.state.config.Load().Version)
+}
+
+func (f *fixture) zoneIsOut(zone string) bool {
+	f.gateway.state.mu.Lock()
+	defer f.gateway.state.mu.Unlock()
+	for _, out := range f.gateway.state.registry.EvacuatedZones() {
+		if string(out) == zone {
+			return true
+		}
+	}
+	return false
+}
+
+// A caller that leaves ends an idempotent request at its target.
+func TestLeavingCallerEndsIdempotentRequest(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t)
+	f.setModes(platformstub.Hang, "d-1", "d-2")
+	ctx, cancel := context.WithCancel(context.Background())
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.gateway.settings.ListenCallers+"/reads/1", nil)
+	require.NoError(t, err)
+	request.Host = "a.example"
+	request.Header.Set("X-Tarragonpoint-Attempt-Id", "r-1")
+	time.AfterFunc(100*time.Millisecond, cancel)
+	_, err = http.DefaultClient.Do(request) //nolint:bodyclose // the request fails
+	require.True(t, errors.Is(err, context.Canceled))
+	require.Eventually(t, func() bool { return f.gateway.metrics.inFlight() == 0 }, settleTime, 5*time.Millisecond)
+}
+
+// Readiness follows what is known, and ends with the request to stop.
+func TestReadiness(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t)
+	status := func() int {
+		response, err := http.Get("http://" + f.gateway.settings.ListenReady + "/readiness")
+		require.NoError(t, err)
+		_ = response.Body.Close()
+		return response.StatusCode
+	}
+	assert.Equal(t, http.StatusOK, status())
+	f.gateway.draining.Store(true)
+	assert.Equal(t, http.StatusServiceUnavailable, status())
+}
+
+// A second VM follows the leader's link and reads the store no more.
+func TestSecondVMFollowsTheLeader(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t)
+	require.Eventually(t, f.gateway.control.leading.Load, settleTime, 10*time.Millisecond)
+	second := f.startVM()
+	require.Eventually(t, second.hearsLeader, settleTime, 10*time.Millisecond)
+	f.publish(6, "3s")
+	require.Eventually(t, func() bool { return second.state.config.Load().Version == 6 }, settleTime, 10*time.Millisecond)
+	assert.False(t, second.control.leading.Load())
+	place := second.place.Load()
+	require.Eventually(t, func() bool {
+		place = second.place.Load()
+		return place != nil && place.VMs >= 1
+	}, settleTime, 10*time.Millisecond)
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -33,6 +34,8 @@
 	mu         sync.Mutex
 	counters   map[counterKey]tally.Counter
 	histograms map[string]tally.Histogram
+
+	attempts atomic.Int64
 }
 
 type counterKey struct{ name, label, value, label2, value2 string }
@@ -117,3 +120,12 @@
 	m.add(counterKey{name: "body_bytes", label: "route", value: route, label2: "distance", value2: distance}, int64(size))
 	m.count(counterKey{name: "attempts", label: "route", value: route, label2: "distance", value2: distance})
 }
+
+// attempt counts an attempt in flight until the returned function is called.
+func (m *metrics) attempt() func() {
+	m.attempts.Add(1)
+	return func() { m.attempts.Add(-1) }
+}
+
+// inFlight returns the number of attempts in flight.
+func (m *metrics) inFlight() int64 { return m.attempts.Load() }
--- a/internal/gateway/role.go
+++ b/internal/gateway/role.go
@@ -194,6 +194,7 @@
 	g.metrics.gauge("connections_opened", float64(counters.Opened))
 	g.metrics.gauge("connections_reused", float64(counters.Reused))
 	g.metrics.gauge("connections_failed", float64(counters.Failed))
+	g.metrics.gauge("attempts_in_flight", float64(g.metrics.inFlight()))
 	if config := g.state.config.Load(); config != nil {
 		g.metrics.gauge("config_version", float64(config.Version))
 	}
--- /dev/null
+++ b/internal/gateway/settings_test.go
@@ -0,0 +1,112 @@
+package gateway
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/fleet"
+	"github.com/tarragonpoint/tarragonpoint/internal/hub"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+)
+
+const settingsFile = `vm-id front-1
+zone a
+region north
+zones a=north,b=south
+listen-callers 10.0.0.1:80
+listen-ready 10.0.0.1:81
+listen-peers 10.0.0.1:82
+store-address 10.0.0.9:90
+retry-window 10s
+a-setting-of-a-later-version 7
+`
+
+func parse(t *testing.T, file string) (Settings, error) {
+	path := filepath.Join(t.TempDir(), "settings")
+	require.NoError(t, os.WriteFile(path, []byte(file), 0o600))
+	var settings Settings
+	flags := flag.NewFlagSet("gateway", flag.ContinueOnError)
+	settings.Bind(flags)
+	if err := ff.Parse(flags, []string{"-config", path}, Options("TEST")...); err != nil {
+		return settings, err
+	}
+	return settings, settings.Check()
+}
+
+func TestSettingsFileIsRead(t *testing.T) {
+	settings, err := parse(t, settingsFile)
+	require.NoError(t, err)
+	assert.Equal(t, "front-1", settings.VM)
+	assert.Equal(t, 10*time.Second, settings.RetryWindow)
+	regions, err := settings.regions()
+	require.NoError(t, err)
+	assert.Equal(t, map[model.Zone]model.Region{"a": "north", "b": "south"}, regions)
+}
+
+// All faults are named at once.
+func TestFaultsOfSettingsAreNamed(t *testing.T) {
+	_, err := parse(t, "zone a\nretry-window 0s\n")
+	require.Error(t, err)
+	for _, name := range []string{"vm-id", "region", "zones", "listen-callers", "listen-ready", "listen-peers", "store-address", "retry-window"} {
+		assert.Contains(t, err.Error(), "-"+name)
+	}
+	_, err = parse(t, "retry-share much\n")
+	assert.Error(t, err)
+}
+
+// The shares of a route's services stay within one request of their weights.
+func TestSplitKeepsWeights(t *testing.T) {
+	route := &fleet.Route{Name: "r", Backends: []fleet.Backend{{Service: "x", Weight: 90}, {Service: "y", Weight: 10}}}
+	split := newSplitter()
+	counts := map[model.Service]int{}
+	for i := 1; i <= 200; i++ {
+		counts[split.choose(route)]++
+		assert.InDelta(t, float64(i)*0.9, counts["x"], 1)
+	}
+}
+
+// Summed over all VMs, a cold target gets no more in any second than it bears, whatever the number of VMs.
+func TestColdTargetIsNotOverrun(t *testing.T) {
+	for _, vms := range []int{1, 2, 5, 11, 83} {
+		for _, bound := range []float64{1.2, 7.7, 13} {
+			var sent []model.Instant
+			gates := make([]*coldGate, vms)
+			for i := range gates {
+				gates[i] = newColdGate()
+			}
+			for now := model.Instant(0); now < model.Instant(5*time.Second); now = now.Add(7 * time.Millisecond) {
+				for rank, gate := range gates {
+					if gate.allow(now, fleet.Life{ID: "cold"}, bound, &hub.Place{VMs: vms, Rank: rank}, true) {
+						sent = append(sent, now)
+					}
+				}
+			}
+			for i := range sent {
+				inSecond := 0
+				for j := i; j < len(sent) && sent[j].Sub(sent[i]) < time.Second; j++ {
+					inSecond++
+				}
+				require.LessOrEqual(t, float64(inSecond), bound, "%d VMs, bound %v", vms, bound)
+			}
+			assert.NotEmpty(t, sent, "%d VMs, bound %v", vms, bound)
+		}
+	}
+	assert.False(t, newColdGate().allow(0, fleet.Life{ID: "cold"}, 13, nil, true), "a VM without a rank sends nothing")
+}
+
+// A caller that comes back is told apart by the deadline that it has left.
+func TestReturnedCallersAreRecognized(t *testing.T) {
+	d := newDeadlines()
+	assert.Zero(t, d.elapsed("r", 2*time.Second))
+	assert.Zero(t, d.elapsed("r", 2*time.Second))
+	assert.Equal(t, 600*time.Millisecond, d.elapsed("r", 1400*time.Millisecond))
+	assert.Zero(t, d.elapsed("other", time.Second))
+	assert.Zero(t, d.elapsed("r", 0))
+}
--- /dev/null
+++ b/internal/picker/picker_test.go
@@ -0,0 +1,121 @@
+package picker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/fleet"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+)
+
+var here = Request{Route: "r", Zone: "a", Region: "north"}
+
+func targets(zones ...model.Zone) []fleet.Target {
+	regions := map[model.Zone]model.Region{"a": "north", "b": "north", "c": "south"}
+	var list []fleet.Target
+	for i, zone := range zones {
+		id := model.TargetID(rune('1' + i))
+		list = append(list, fleet.Target{ID: id, Service: "s", Zone: zone, Region: regions[zone], Slots: 2})
+	}
+	return list
+}
+
+func at(t time.Duration) model.Instant { return model.Instant(time.Hour + t) }
+
+func newPicker() *Picker { return New(func() float64 { return 0 }) }
+
+func choose(t *testing.T, p *Picker, now model.Instant, list []fleet.Target) fleet.Target {
+	choice, found := p.Choose(now, here, list)
+	require.True(t, found)
+	return list[choice.Index]
+}
+
+func TestNoTargetNoChoice(t *testing.T) {
+	_, found := newPicker().Choose(at(0), here, nil)
+	assert.False(t, found)
+}
+
+func TestNearTargetIsPreferred(t *testing.T) {
+	assert.Equal(t, model.Zone("a"), choose(t, newPicker(), at(0), targets("c", "b", "a")).Zone)
+}
+
+// Requests in flight fill the near target, then the next one; the other region is used only when both are full.
+func TestLoadSpreadsByExpectedTime(t *testing.T) {
+	p, list := newPicker(), targets("a", "b", "c")
+	counts := map[model.Zone]int{}
+	for i := 0; i < 9; i++ {
+		target := choose(t, p, at(0), list)
+		counts[target.Zone]++
+		p.Begin(at(0), here, &target)
+	}
+	assert.LessOrEqual(t, counts["c"], 2)
+	assert.InDelta(t, counts["a"], counts["b"], 2)
+}
+
+// A target that reports others' requests gets less, until the report is old.
+func TestReportsOfOthersCount(t *testing.T) {
+	p, list := newPicker(), targets("a", "a")
+	p.Observe(at(0), &list[0], Report{Running: 2, Waiting: 6, Slots: 2, Slowness: 1})
+	p.Observe(at(0), &list[1], Report{Slots: 2, Slowness: 1})
+	assert.Equal(t, list[1].ID, choose(t, p, at(0), list).ID)
+	busy := p.Expected(at(0), here, &list[0])
+	later := p.Expected(at(10*time.Second), here, &list[0])
+	assert.Less(t, later, busy)
+}
+
+// A machine that is slowed by its neighbors is avoided while it says so.
+func TestSlowMachineIsAvoided(t *testing.T) {
+	p, list := newPicker(), targets("a", "a")
+	p.Observe(at(0), &list[0], Report{Slots: 2, Slowness: 3})
+	p.Observe(at(0), &list[1], Report{Slots: 2, Slowness: 1})
+	assert.Equal(t, list[1].ID, choose(t, p, at(0), list).ID)
+}
+
+// Targets differ in speed, which is learned from their answers.
+func TestSpeedIsLearned(t *testing.T) {
+	p, list := newPicker(), targets("a", "a")
+	now := at(0)
+	for i := 0; i < 60; i++ {
+		for j := range list {
+			ticket := p.Begin(now, here, &list[j])
+			took := time.Duration(100+300*j) * time.Millisecond
+			now = now.Add(took)
+			p.End(now, ticket, Result{Answered: true, Report: &Report{Slots: 2, Slowness: 1}})
+		}
+	}
+	assert.Greater(t, p.Expected(now, here, &list[1]), 2*p.Expected(now, here, &list[0]))
+}
+
+// A target that fails requests while its health is good gets fewer, and is tried again later.
+func TestFailingTargetIsAvoidedForAWhile(t *testing.T) {
+	p, list := newPicker(), targets("a", "a")
+	for i := 0; i < 10; i++ {
+		p.End(at(0), p.Begin(at(0), here, &list[0]), Result{Failed: true})
+	}
+	failing := p.Expected(at(0), here, &list[0])
+	assert.Greater(t, failing, 3*p.Expected(at(0), here, &list[1]))
+	assert.Less(t, p.Expected(at(20*time.Second), here, &list[0]), failing/3)
+}
+
+// A silent target holds its requests; an answer that is overdue counts before it ends.
+func TestOverdueAnswerCounts(t *testing.T) {
+	p, list := newPicker(), targets("a", "a")
+	p.Begin(at(0), here, &list[0])
+	soon := p.Expected(at(100*time.Millisecond), here, &list[0])
+	assert.Greater(t, p.Expected(at(3*time.Second), here, &list[0]), 4*soon)
+}
+
+func TestUnusedTargetsAreForgotten(t *testing.T) {
+	p, list := newPicker(), targets("a", "a")
+	p.Expected(at(0), here, &list[0])
+	ticket := p.Begin(at(0), here, &list[1])
+	p.Forget(at(time.Hour), time.Minute)
+	assert.Len(t, p.targets, 1, "a target with requests in flight stays")
+	p.End(at(time.Hour), ticket, Result{})
+	p.Forget(at(3*time.Hour), time.Minute)
+	assert.Empty(t, p.targets)
+	p.End(at(3*time.Hour), ticket, Result{})
+}
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -43,8 +43,11 @@
 	allowed := burst
 	spent := 0.0
 	for i := range b.requests {
-		allowed += b.share * b.requests[i]
 		spent += b.retries[i]
+		if age := b.current - b.stepOf(i); age < windowSteps-1 {
+			// The oldest steps may lie outside of the window, so only retries count in them.
+			allowed += b.share * b.requests[i]
+		}
 	}
 	if spent+1 > allowed {
 		return false
@@ -55,6 +58,12 @@
 
 func (b *WindowBudget) slot() int { return int(b.current % int64(len(b.requests))) }
 
+// stepOf returns the number of the step that a slot holds.
+func (b *WindowBudget) stepOf(slot int) int64 {
+	length := int64(len(b.requests))
+	return b.current - (b.current-int64(slot)+length)%length
+}
+
 func (b *WindowBudget) advance(now model.Instant) {
 	step := int64(now) / int64(b.step)
 	if step-b.current > int64(len(b.requests)) {
--- /dev/null
+++ b/internal/retry/window_test.go
@@ -0,0 +1,62 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+)
+
+// In no window of its length do repeated attempts exceed the share of the requests and the burst.
+func TestWindowBudgetHoldsInEveryWindow(t *testing.T) {
+	const (
+		window = 10 * time.Second
+		share  = 0.2
+		burst  = 5.0
+	)
+	random := rand.New(rand.NewPCG(1, 2))
+	b := NewWindowBudget(share, window)
+	var requests, retries []model.Instant
+	now := model.Instant(time.Hour)
+	for i := 0; i < 4000; i++ {
+		now = now.Add(time.Duration(random.IntN(40)) * time.Millisecond)
+		if random.IntN(3) > 0 {
+			b.Request(now)
+			requests = append(requests, now)
+		}
+		if b.Take(now, burst) {
+			retries = append(retries, now)
+		}
+	}
+	require.NotEmpty(t, retries)
+	count := func(list []model.Instant, from, to model.Instant) float64 {
+		n := 0.0
+		for _, at := range list {
+			if at >= from && at < to {
+				n++
+			}
+		}
+		return n
+	}
+	for _, end := range retries {
+		start := end.Add(-window)
+		// The platform compares with the window or one that lies up to a window before it.
+		owed := share*max(count(requests, start, end+1), count(requests, start.Add(-window/2), end.Add(-window/2))) + burst
+		assert.LessOrEqual(t, count(retries, start, end+1), owed+1)
+	}
+}
+
+func TestWindowBudgetForgetsAfterLongPause(t *testing.T) {
+	b := NewWindowBudget(0.5, time.Second)
+	for i := 0; i < 10; i++ {
+		b.Request(0)
+	}
+	assert.True(t, b.Take(model.Instant(500*time.Millisecond), 0))
+	assert.False(t, b.Take(model.Instant(time.Hour), 0))
+	assert.True(t, b.Take(model.Instant(time.Hour), 1))
+	assert.False(t, b.Take(model.Instant(time.Hour), 1))
+}
--- /dev/null
+++ b/internal/standin/platformstub/target.go
@@ -0,0 +1,203 @@
+package platformstub
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Mode is how a target treats requests.
+type Mode uint8
+
+// Modes of a target.
+const (
+	// Serve answers requests after the target's work time.
+	Serve Mode = iota
+	// Shed refuses requests without running them.
+	Shed
+	// Hang runs nothing and answers nothing.
+	Hang
+	// Drop runs requests and closes the connection without an answer.
+	Drop
+	// Fail runs requests and answers 500.
+	Fail
+	// Unsealed answers without the digest.
+	Unsealed
+	// Stale answers with the ID of another request first.
+	Stale
+)
+
+// Target is the stand-in of a server instance.
+type Target struct {
+	ID string
+
+	server *httptest.Server
+	mu     sync.Mutex
+	mode   Mode
+	work   time.Duration
+	runs   map[string]int
+	holds  []heldRange
+}
+
+type heldRange struct {
+	from, to int
+	fence    uint64
+	until    time.Time
+}
+
+// NewTarget starts a target on the loopback interface. Close ends it.
+func NewTarget(id string, work time.Duration) *Target {
+	t := &Target{ID: id, work: work, runs: map[string]int{}}
+	t.server = httptest.NewServer(http.HandlerFunc(t.serve))
+	return t
+}
+
+// Address returns IP:port.
+func (t *Target) Address() string { return strings.TrimPrefix(t.server.URL, "http://") }
+
+// Close ends the target and its connections.
+func (t *Target) Close() {
+	t.server.CloseClientConnections()
+	t.server.Close()
+}
+
+// SetMode sets how requests are treated from now on.
+func (t *Target) SetMode(mode Mode) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.mode = mode
+}
+
+// Runs returns how often a request with an attempt ID has run.
+func (t *Target) Runs(id string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.runs[id]
+}
+
+// Registration returns the record by which the target registers itself.
+func (t *Target) Registration(service, zone string, slots int, state string, seq int) []byte {
+	return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":%q,"version":"v1","max-concurrency":%d,"state":%q,`+
+		`"warmup-left":"0ms","seq":%d,"born":1}`, service, t.Address(), zone, slots, state, seq)
+}
+
+func (t *Target) serve(w http.ResponseWriter, request *http.Request) {
+	if wanted := request.Header.Get("X-Tarragonpoint-Target-Instance"); wanted != "" && wanted != t.ID {
+		w.Header().Set("X-Tarragonpoint-Instance-Id", t.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch request.URL.Path {
+	case "/grant", "/release":
+		t.order(w, request)
+	default:
+		t.request(w, request)
+	}
+}
+
+func (t *Target) order(w http.ResponseWriter, request *http.Request) {
+	var body struct {
+		From  int    `json:"from"`
+		To    int    `json:"target"`
+		Fence uint64 `json:"fence"`
+		Hold  string `json:"hold_time"`
+	}
+	if json.NewDecoder(request.Body).Decode(&body) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	overlaps := func(h heldRange) bool { return h.from <= body.To && body.From <= h.to }
+	if request.URL.Path == "/grant" {
+		for _, held := range t.holds {
+			if overlaps(held) && held.fence > body.Fence {
+				w.WriteHeader(http.StatusConflict)
+				return
+			}
+		}
+		hold, err := time.ParseDuration(body.Hold)
+		if err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		t.holds = append(t.holds, heldRange{from: body.From, to: body.To, fence: body.Fence, until: time.Now().Add(hold)})
+		return
+	}
+	for i := range t.holds {
+		if overlaps(t.holds[i]) {
+			t.holds[i].until = time.Time{}
+		}
+	}
+	t.holds = append(t.holds, heldRange{from: body.From, to: body.To, fence: body.Fence})
+	w.Header().Set("X-Tarragonpoint-Handover", "handover-"+strconv.FormatUint(body.Fence, 10))
+}
+
+// Holds reports whether the target holds a key now.
+func (t *Target) Holds(key int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, held := range t.holds {
+		if held.from <= key && key <= held.to && time.Now().Before(held.until) {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Target) request(w http.ResponseWriter, request *http.Request) {
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return
+	}
+	id := request.Header.Get("X-Tarragonpoint-Attempt-Id")
+	if key, err := strconv.Atoi(request.Header.Get("X-Tarragonpoint-Shard-Key")); err == nil && !t.Holds(key) {
+		w.Header().Set("X-Tarragonpoint-Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	t.mu.Lock()
+	mode := t.mode
+	if mode != Shed && mode != Hang {
+		t.runs[id]++
+	}
+	t.mu.Unlock()
+	t.answer(w, request, mode, id, len(body))
+}
+
+func (t *Target) answer(w http.ResponseWriter, request *http.Request, mode Mode, id string, length int) {
+	header := w.Header()
+	header.Set("X-Tarragonpoint-Attempt-Id", id)
+	header.Set("X-Tarragonpoint-Instance-Load", "1,0,4,100")
+	switch mode {
+	case Shed:
+		header.Set("X-Tarragonpoint-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case Hang:
+		<-request.Context().Done()
+		return
+	case Drop:
+		panic(http.ErrAbortHandler)
+	case Stale:
+		header.Set("X-Tarragonpoint-Attempt-Id", "another")
+	}
+	select {
+	case <-time.After(t.work):
+	case <-request.Context().Done():
+		return
+	}
+	if mode != Unsealed {
+		header.Set("X-Tarragonpoint-Server-Seal", "seal-"+t.ID)
+	}
+	if mode == Fail {
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+	fmt.Fprintf(w, "%s %s %d bytes from %s", request.Method, request.RequestURI, length, t.ID)
+}
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,237 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// serveRaw accepts connections and hands each with its number to handle.
+func serveRaw(t *testing.T, handle func(socket net.Conn, reader *bufio.Reader, number int)) string {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	var accepted atomic.Int64
+	go func() {
+		for {
+			socket, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			number := int(accepted.Add(1))
+			go func() {
+				defer func() { _ = socket.Close() }()
+				handle(socket, bufio.NewReader(socket), number)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// answers reads requests and writes one text for each.
+func answers(texts ...string) func(net.Conn, *bufio.Reader, int) {
+	return func(socket net.Conn, reader *bufio.Reader, _ int) {
+		for _, text := range texts {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_ = request.Body.Close()
+			if _, err := socket.Write([]byte(text)); err != nil {
+				return
+			}
+		}
+		_, _ = reader.ReadByte()
+	}
+}
+
+func get(id string) *Request {
+	return &Request{
+		Method: http.MethodGet, URI: "/x", Host: "h", Header: http.Header{"Id": {id}},
+		Accept: func(_ int, header http.Header) bool { return header.Get("Id") == id },
+	}
+}
+
+func do(t *testing.T, pool *Pool, address string, request *Request) (*Response, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	t.Cleanup(cancel)
+	return pool.Do(ctx, address, request)
+}
+
+const okOne = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\nKeep-Alive: timeout=10\r\n\r\none"
+
+func TestConnectionIsReused(t *testing.T) {
+	address := serveRaw(t, answers(okOne, okOne))
+	pool := NewPool()
+	first, err := do(t, pool, address, get("1"))
+	require.NoError(t, err)
+	assert.Equal(t, "one", string(first.Body))
+	second, err := do(t, pool, address, get("1"))
+	require.NoError(t, err)
+	assert.Equal(t, first.Connection, second.Connection)
+	assert.Equal(t, Counters{Opened: 1, Reused: 1}, pool.Counters())
+}
+
+// An answer that ends early must not look complete.
+func TestCutAnswerIsNoAnswer(t *testing.T) {
+	for name, text := range map[string]string{
+		"body":    "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 30\r\n\r\ncut",
+		"header":  "HTTP/1.1 200 OK\r\nId",
+		"chunk":   "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+		"nothing": "",
+	} {
+		address := serveRaw(t, func(socket net.Conn, reader *bufio.Reader, _ int) {
+			_, _ = http.ReadRequest(reader)
+			_, _ = socket.Write([]byte(text))
+		})
+		_, err := do(t, NewPool(), address, get("1"))
+		assert.True(t, errorx.IsOfType(err, ErrNoAnswer), "%s: %v", name, err)
+	}
+}
+
+func TestAnswerThatIsNotHTTPIsMalformed(t *testing.T) {
+	address := serveRaw(t, answers("garbage garbage\r\n\r\n"))
+	_, err := do(t, NewPool(), address, get("1"))
+	assert.True(t, errorx.IsOfType(err, ErrMalformed), "%v", err)
+}
+
+// An answer without a length ends with its connection.
+func TestUnframedAnswerEndsWithItsConnection(t *testing.T) {
+	address := serveRaw(t, func(socket net.Conn, reader *bufio.Reader, _ int) {
+		_, _ = http.ReadRequest(reader)
+		_, _ = socket.Write([]byte("HTTP/1.1 200 OK\r\nId: 1\r\n\r\nwhole"))
+	})
+	response, err := do(t, NewPool(), address, get("1"))
+	require.NoError(t, err)
+	assert.Equal(t, "whole", string(response.Body))
+	assert.Zero(t, response.Connection)
+}
+
+// The answer of another request in front of the awaited one is skipped, and the connection is not used again.
+func TestAnswerOfAnotherRequestIsSkipped(t *testing.T) {
+	other := strings.ReplaceAll(okOne, "Id: 1", "Id: 9")
+	address := serveRaw(t, answers(other+okOne, okOne))
+	pool := NewPool()
+	response, err := do(t, pool, address, get("1"))
+	require.NoError(t, err)
+	assert.Equal(t, "1", response.Header.Get("Id"))
+	assert.Zero(t, response.Connection)
+}
+
+// Bytes after a complete answer belong to no request: the connection is not used again.
+func TestExtraBytesEndTheConnection(t *testing.T) {
+	address := serveRaw(t, answers(okOne+okOne, okOne))
+	pool := NewPool()
+	_, err := do(t, pool, address, get("1"))
+	require.NoError(t, err)
+	_, err = do(t, pool, address, get("1"))
+	require.NoError(t, err)
+	assert.Equal(t, uint64(2), pool.Counters().Opened)
+}
+
+func TestRefusedConnectionIsNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	_, err = do(t, NewPool(), address, get("1"))
+	assert.True(t, errorx.IsOfType(err, ErrRefused), "%v", err)
+	assert.True(t, errorx.IsOfType(err, ErrNotSent), "%v", err)
+}
+
+// A request that demands a connection is not sent over another one, as that may lead to a new process.
+func TestDemandedConnection(t *testing.T) {
+	address := serveRaw(t, func(socket net.Conn, reader *bufio.Reader, number int) {
+		if number == 1 {
+			answers(okOne)(socket, bufio.NewReader(reader), number)
+			return
+		}
+		answers(okOne, okOne)(socket, reader, number)
+	})
+	pool := NewPool()
+	first, err := do(t, pool, address, get("1"))
+	require.NoError(t, err)
+	pool.Forget(address)
+	demanding := get("1")
+	demanding.Connection = first.Connection
+	_, err = do(t, pool, address, demanding)
+	assert.True(t, errorx.IsOfType(err, ErrNotConnected), "%v", err)
+	second, err := do(t, pool, address, get("1"))
+	require.NoError(t, err)
+	demanding.Connection = second.Connection
+	_, err = do(t, pool, address, demanding)
+	assert.NoError(t, err)
+}
+
+// A target that closes its connection after a grant gets a new one at once.
+func TestClosedConnectionIsReplaced(t *testing.T) {
+	closing := strings.Replace(okOne, "Keep-Alive: timeout=10", "Connection: close", 1)
+	address := serveRaw(t, func(socket net.Conn, reader *bufio.Reader, number int) {
+		if number == 1 {
+			_, _ = http.ReadRequest(reader)
+			_, _ = socket.Write([]byte(closing))
+			return
+		}
+		answers(okOne)(socket, reader, number)
+	})
+	pool := NewPool()
+	request := get("1")
+	request.Replace = true
+	response, err := do(t, pool, address, request)
+	require.NoError(t, err)
+	require.NotZero(t, response.Connection)
+	request.Connection = response.Connection
+	_, err = do(t, pool, address, request)
+	assert.NoError(t, err)
+}
+
+// A request that is given up resets its connection, at which the target stops.
+func TestGivenUpRequestResetsItsConnection(t *testing.T) {
+	ended := make(chan struct{})
+	address := serveRaw(t, func(_ net.Conn, reader *bufio.Reader, _ int) {
+		_, _ = http.ReadRequest(reader)
+		_, _ = reader.ReadByte()
+		close(ended)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	_, err := NewPool().Do(ctx, address, get("1"))
+	assert.True(t, errorx.IsOfType(err, ErrTimeout), "%v", err)
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the connection stays open")
+	}
+}
+
+// A target may answer before it has read a long body; the rest of the body must not be taken for another request.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	address := serveRaw(t, func(socket net.Conn, reader *bufio.Reader, _ int) {
+		_, _ = reader.ReadString('\n')
+		_, _ = socket.Write([]byte(strings.Replace(okOne, "200 OK", "503 Busy", 1)))
+		time.Sleep(50 * time.Millisecond)
+	})
+	request := get("1")
+	request.Method = http.MethodPost
+	request.Body = make([]byte, 16<<20)
+	response, err := do(t, NewPool(), address, request)
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusServiceUnavailable, response.Status)
+	assert.Zero(t, response.Connection)
+}
+
+func TestIdleTimeOfKeepAlive(t *testing.T) {
+	assert.Equal(t, 10*time.Second-keepAliveMargin, idleTime(http.Header{"Keep-Alive": {"max=5, timeout=10"}}))
+	assert.Equal(t, defaultIdle, idleTime(http.Header{}))
+	assert.Equal(t, defaultIdle, idleTime(http.Header{"Keep-Alive": {"timeout=soon"}}))
+	assert.Zero(t, idleTime(http.Header{"Keep-Alive": {"timeout=1"}}))
+}
