Keep lapsed entries only from the store's return on, as any read shows it

Change: one outage for all topics; a read that was sent before the last answer says nothing; waiting tries are made at once when the store is back; entries are kept 1.8 s.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -31,7 +31,7 @@
 	// readRetry is the time after which a failed read is repeated, and maxReadRetry what it grows to. Many VMs read at once
 	// when the store comes back, so the times are spread.
 	readRetry    = 200 * time.Millisecond
-	maxReadRetry = 600 * time.Millisecond
+	maxReadRetry = 400 * time.Millisecond
 	// topicAssignment holds the assignment of keys, under one key.
 	topicAssignment = "keyed.tarragonpoint"
 	keyAssignment   = "assignment"
@@ -55,8 +55,6 @@
 	applyDelta func(now model.Instant, record platform.Record) bool
 	// read is told of each read: when the topic was known to end at the offset end.
 	read func(known model.Instant, end uint64)
-	// answered is told after each read whether the store answered.
-	answered func(now model.Instant, answered bool)
 	// direct reports whether this VM has to read the topic itself although the leader passes it on; nil means never.
 	direct func() bool
 
@@ -95,14 +93,12 @@
 		if err == nil {
 			failures = 0
 		}
-		f.gw.outage.ended(err == nil)
-		if f.answered != nil {
-			f.answered(f.gw.clock.Now(), err == nil)
-		}
+		now := f.gw.clock.Now()
+		f.gw.expireTargets(now, !f.gw.outage.ended(started, now, err == nil))
 		switch {
 		case err != nil:
 			failures++
-			sleep(ctx, backoff(failures))
+			f.gw.outage.pause(ctx, backoff(failures))
 		case f.pace > 0:
 			sleep(ctx, f.readPace()-f.gw.clock.Now().Sub(started))
 		}
@@ -241,9 +237,7 @@
 	}
 	f.next = batch.To
 	f.freshUntil = now.Add(passedOnFresh - time.Duration(batch.Age)*time.Millisecond)
-	if f.answered != nil {
-		f.answered(now, true)
-	}
+	f.gw.expireTargets(now, true)
 }
 
 // applyPassed applies a record that the leader passed on. It returns false if this VM has to read it itself.
@@ -341,7 +335,7 @@
 
 func (g *gateway) targetFollower() *follower {
 	f := &follower{
-		name: "targets", topic: platform.TopicTargets, gw: g, pace: targetsEvery, answered: g.expireTargets,
+		name: "targets", topic: platform.TopicTargets, gw: g, pace: targetsEvery,
 		wait: func() time.Duration { return 0 },
 		list: g.listTargets,
 		change: func(now model.Instant, record platform.Record) *passedRecord {
@@ -355,7 +349,8 @@
 	return f
 }
 
-// expireTargets drops entries that lapsed while the store was away and have not returned since.
+// expireTargets tells the registry whether the store answers, and drops entries that lapsed while it was away and have
+// not returned since.
 func (g *gateway) expireTargets(now model.Instant, answered bool) {
 	g.state.withRegistry(func(r *registry.Registry) {
 		r.StoreAnswered(now, answered)
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -9,11 +9,12 @@
 import "time"
 
 const (
-	// usefulFactor is how far the expected time may exceed the time left within the latency target. Estimates are off by
-	// the spread of the work, and an answer that is a little late still has a part of its value.
-	usefulFactor = 1.3
+	// usefulFactor is the part of the time left within the latency target that the expected time may take. A lasting burst
+	// keeps queues at this bound, and estimates are off by
+	// the spread of the work, so it has to stay below the target.
+	usefulFactor = 0.8
 	// urgentFactor is the same for requests that others may be refused for.
-	urgentFactor = 2.0
+	urgentFactor = 1.0
 	// deadlineFactor is how much of the time left the expected time may take for requests that will be late anyway.
 	deadlineFactor = 0.8
 	// callerDistance is the time that a request and its answer take between the caller and this VM.
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -30,7 +30,7 @@
 func TestUrgentRequestsGoFirst(t *testing.T) {
 	urgent := request()
 	urgent.Urgent = true
-	expected := 800 * time.Millisecond
+	expected := 450 * time.Millisecond
 	assert.False(t, Decide(request(), expected).Send)
 	assert.True(t, Decide(urgent, expected).Send)
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -13,8 +13,8 @@
 
 const (
 	// returnGrace is how long an entry that lapsed while the store was away may still return. The platform states about
-	// two seconds.
-	returnGrace = 2200 * time.Millisecond
+	// two seconds after its return, which this VM notices some tenths of a second late.
+	returnGrace = 1800 * time.Millisecond
 	// catchUp is how long after an outage of the store a removal that is read is taken as a lapse. Later removals happened
 	// after the outage and are final.
 	catchUp = 500 * time.Millisecond
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -38,7 +38,7 @@
 	assert.False(t, r.Remove(at(5010*time.Millisecond), "x"))
 	assert.False(t, r.Remove(at(5010*time.Millisecond), "y"))
 	r.Report(at(6*time.Second), target("x"), 0)
-	assert.Empty(t, r.Expire(at(7*time.Second)))
+	assert.Empty(t, r.Expire(at(6700*time.Millisecond)))
 	assert.Equal(t, []model.TargetID{"y"}, r.Expire(at(7300*time.Millisecond)))
 	entry, found := r.Lookup(at(8*time.Second), "x")
 	assert.True(t, found)
