--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -169,7 +169,13 @@
 		fields = append(fields, logging.Route(j.route.Name), logging.Service(j.service))
 	}
 	if answer.target != "" {
-		fields = append(fields, logging.TargetID(answer.target), logging.Expected(answer.expected))
+		fields = append(fields, logging.TargetID(answer.target), logging.Age(answer.age))
+	}
+	if answer.expected > 0 {
+		fields = append(fields, logging.Expected(answer.expected))
+	}
+	if answer.retryAfter > 0 {
+		fields = append(fields, logging.RetryAfter(answer.retryAfter))
 	}
 	if answer.answer != nil {
 		fields = append(fields, logging.Status(answer.answer.Status))
--- a/internal/logging/fields.go
+++ b/internal/logging/fields.go
@@ -106,6 +106,9 @@
 // Expected is the time that an answer was expected to take.
 func Expected(time time.Duration) Field { return Field{"expected_ms", time.Milliseconds()} }
 
+// RetryAfter is when a refused caller was told to come back.
+func RetryAfter(time time.Duration) Field { return Field{"retry_after_ms", time.Milliseconds()} }
+
 // State is a constant text for a state.
 func State(state string) Field { return Field{"state", state} }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -85,7 +85,6 @@
 func TestCutAnswerIsNoAnswer(t *testing.T) {
 	for name, text := range map[string]string{
 		"body":    "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 30\r\n\r\ncut",
-		"header":  "HTTP/1.1 200 OK\r\nId",
 		"chunk":   "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
 		"nothing": "",
 	} {
@@ -98,10 +97,16 @@
 	}
 }
 
+// A header that is cut cannot be told from one that is no HTTP; neither says whether the request ran.
 func TestAnswerThatIsNotHTTPIsMalformed(t *testing.T) {
-	address := serveRaw(t, answers("garbage garbage\r\n\r\n"))
-	_, err := do(t, NewPool(), address, get("1"))
-	assert.True(t, errorx.IsOfType(err, ErrMalformed), "%v", err)
+	for _, text := range []string{"garbage garbage\r\n\r\n", "HTTP/1.1 200 OK\r\nId"} {
+		address := serveRaw(t, func(socket net.Conn, reader *bufio.Reader, _ int) {
+			_, _ = http.ReadRequest(reader)
+			_, _ = socket.Write([]byte(text))
+		})
+		_, err := do(t, NewPool(), address, get("1"))
+		assert.True(t, errorx.IsOfType(err, ErrMalformed), "%q: %v", text, err)
+	}
 }
 
 // An answer without a length ends with its connection.
