Let second attempts use half of the retry burst

Cause: with little traffic the share of own requests allowed no second attempt, so that an idempotent request whose target answered for another one waited until its deadline (TestIdempotentRequestIsRepeated under load, 1 of 1; green alone).

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -345,6 +345,8 @@
 	hedgeFactor = 2.5
 	// minHedgeDelay keeps short requests from being repeated for a moment's delay.
 	minHedgeDelay = 250 * time.Millisecond
+	// hedgeBurst is the part of the retry burst that second attempts may use; the rest is for requests that were refused.
+	hedgeBurst = 0.5
 	// never is a delay beyond every deadline.
 	never = time.Hour
 )
@@ -367,7 +369,7 @@
 		return false
 	}
 	place := g.choose(j)
-	if place.verdict != placeSend || !g.budget(j.service).Take(now, 0) {
+	if place.verdict != placeSend || !g.budget(j.service).Take(now, g.retryBurst()*hedgeBurst) {
 		return false
 	}
 	g.metrics.hedge(string(j.service))
