Never answer as not run what an earlier attempt may have run

Cause: read in the code: an idempotent request whose first attempt was lost and whose second one was shed got 503, which promises that nothing ran. Test TestRefusalAfterUnknownAttemptIsNotClaimed failed first (503 for 502), now green. Ruled out: requests that may not be repeated are not concerned, as they are sent again only after a refusal.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -33,6 +33,8 @@
 	service model.Service
 	tried   []fleet.Life
 	sends   int
+	// mayHaveRun is true once an attempt ended without word that it did not run.
+	mayHaveRun bool
 }
 
 func (j *job) left(now model.Instant) time.Duration { return j.ends.Sub(now) }
@@ -56,8 +58,19 @@
 	return reply{code: code, reason: reason, retryAfter: retryAfter}
 }
 
-// dispatch serves a request. ctx ends when the caller has left.
+// dispatch serves a request. ctx ends when the caller has left. A request of which an attempt may have run is never
+// answered as not run.
 func (g *gateway) dispatch(ctx context.Context, j *job) reply {
+	answer := g.dispatchAttempts(ctx, j)
+	if j.mayHaveRun && answer.answer == nil && result.Lookup(answer.code).Outcome == result.NotRun {
+		answer.code = result.OutcomeUnknown
+		answer.retryAfter = 0
+	}
+	return answer
+}
+
+// dispatchAttempts places and sends a request until it has an answer or is given up.
+func (g *gateway) dispatchAttempts(ctx context.Context, j *job) reply {
 	counted := model.Service("")
 	for {
 		if ctx.Err() != nil {
@@ -331,6 +344,7 @@
 			}
 		case t := <-tries:
 			flying--
+			j.mayHaveRun = j.mayHaveRun || t.outcome == unknownRun || t.outcome == failedRun
 			if t.outcome == answered || flying == 0 {
 				return g.judge(ctx, g.clock.Now(), j, t)
 			}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -334,3 +334,19 @@
 		return place != nil && place.VMs >= 1
 	}, settleTime, 10*time.Millisecond)
 }
+
+// A refusal says that nothing ran. An idempotent request whose first attempt may have run is not refused so, even if its
+// second attempt was.
+func TestRefusalAfterUnknownAttemptIsNotClaimed(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t)
+	f.setModes(platformstub.Drop, "d-1")
+	f.setModes(platformstub.Shed, "d-2")
+	for i := 0; i < 12; i++ {
+		id := fmt.Sprint("r-", i)
+		answer := f.send(http.MethodGet, "/reads/1", id, "")
+		if f.runs(id) > 0 {
+			assert.Equal(t, http.StatusBadGateway, answer.status, "request %d ran %d times", i, f.runs(id))
+		}
+	}
+}
