Speak the platform's published protocol in the entry role, its stand-ins and the demo

Cause: two clients of the platform's log existed. The entry role used a log and a list of VMs in formats of its own, so its tests and the demo ran against something no platform serves.

Change: platform.Store is the only client and reads and writes topics without keys too. The streams of the entry role are topics of the store, and the list of VMs is the store's registrations. standin has one store that answers /log-append, /log-read, /log-newest, /log-join and /log-leave; platformstub wraps it. The formats /v1/streams and /v1/vms, their client and their stand-ins are gone. Faults of the stand-in for one client only are gone with the header that named clients, which no client sent. Plug-in IDs and settings stay.

The leader passes on reports of targets that some VM could not reach, so such a VM no longer reads all reports itself.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,6 +1,6 @@
 // Command standin runs small stand-ins of the platform and of targets for tests and the demo. It is never shipped.
 //
-//	standin log|vmlist|target --listen 127.0.0.1:0 [flags]
+//	standin store|target --listen 127.0.0.1:0 [flags]
 //
 // It prints one line with its address when it is ready and exits on SIGTERM or an interrupt.
 package main
@@ -29,9 +29,9 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	root := &ffcli.Command{
-		ShortUsage:  "standin log|vmlist|target [flags]",
+		ShortUsage:  "standin store|target [flags]",
 		FlagSet:     flag.NewFlagSet("standin", flag.ContinueOnError),
-		Subcommands: []*ffcli.Command{logCommand(), vmListCommand(), targetCommand()},
+		Subcommands: []*ffcli.Command{storeCommand(), targetCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	if err := root.ParseAndRun(ctx, os.Args[1:]); err != nil {
@@ -40,23 +40,15 @@
 	}
 }
 
-func logCommand() *ffcli.Command {
-	var options standin.LogOptions
-	flags := flag.NewFlagSet("standin log", flag.ContinueOnError)
+func storeCommand() *ffcli.Command {
+	var options standin.StoreOptions
+	flags := flag.NewFlagSet("standin store", flag.ContinueOnError)
 	listen := flags.String("listen", "127.0.0.1:0", "address to listen on")
-	flags.IntVar(&options.KeepRecords, "keep-records", 0, "records kept in each stream; 0 keeps all")
+	flags.IntVar(&options.KeepRecords, "keep-records", 0, "records kept in each topic; 0 keeps all")
 	flags.DurationVar(&options.KeepAge, "keep-age", 0, "time for which records are kept; 0 keeps them for ever")
-	return command("log", flags, func(ctx context.Context) error {
-		return serve(ctx, *listen, standin.NewLog(options), nil)
-	})
-}
-
-func vmListCommand() *ffcli.Command {
-	flags := flag.NewFlagSet("standin vmlist", flag.ContinueOnError)
-	listen := flags.String("listen", "127.0.0.1:0", "address to listen on")
-	lag := flags.Duration("lag", 0, "time after which readers see a change")
-	return command("vmlist", flags, func(ctx context.Context) error {
-		return serve(ctx, *listen, standin.NewVMList(*lag, nil), nil)
+	flags.DurationVar(&options.Lag, "lag", 0, "time after which readers see what the platform lists")
+	return command("store", flags, func(ctx context.Context) error {
+		return serve(ctx, *listen, standin.NewStore(options), nil)
 	})
 }
 
--- a/cmd/standin/main_test.go
+++ b/cmd/standin/main_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"bufio"
-	"encoding/json"
+	"context"
 	"net/http"
 	"os"
 	"os/exec"
@@ -44,24 +44,20 @@
 	return command, strings.TrimSpace(line)
 }
 
-// Guards against processes that outlive SIGTERM, a target that prints its address before it is in the VM list, and a
+// Guards against processes that outlive SIGTERM, a target that prints its address before it is registered, and a
 // crash that leaves the process running.
 func TestProcessesStartRegisterAndEnd(t *testing.T) {
-	list, address := start(t, "vmlist", "--listen", "127.0.0.1:0")
-	service, _ := start(t, "log")
-	server, targetAddress := start(t, "target", "--vm", "vm7", "--zone", "coast-a", "--vmlist", "http://"+address, "--unchecked")
-	response, err := http.Get("http://" + address + "/v1/vms")
+	store, address := start(t, "store", "--listen", "127.0.0.1:0")
+	server, targetAddress := start(t, "target", "--vm", "vm7", "--zone", "coast-a", "--store", "http://"+address, "--unchecked")
+	list := platform.StoreVMList{URL: "http://" + address}
+	require.NoError(t, list.Provision(nil))
+	reply, err := list.List(context.Background())
 	require.NoError(t, err)
-	defer func() { _ = response.Body.Close() }()
-	var reply platform.VMListReply
-	require.NoError(t, json.NewDecoder(response.Body).Decode(&reply))
 	require.Equal(t, []platform.VM{{ID: "vm7", Zone: "coast-a", State: platform.VMLive}}, reply.VMs)
 	_, err = http.Post("http://"+targetAddress+"/x?crash=1", "", nil)
 	require.Error(t, err)
 	require.Error(t, server.Wait())
 	require.Equal(t, exitCrash, server.ProcessState.ExitCode())
-	for _, command := range []*exec.Cmd{list, service} {
-		require.NoError(t, command.Process.Signal(syscall.SIGTERM))
-		require.NoError(t, command.Wait())
-	}
+	require.NoError(t, store.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, store.Wait())
 }
--- a/cmd/standin/target.go
+++ b/cmd/standin/target.go
@@ -13,11 +13,10 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
-	"github.com/tarragonpoint/tarragonpoint/internal/platform"
 	"github.com/tarragonpoint/tarragonpoint/internal/standin"
 )
 
-// registerTimeout bounds the registration of a target in the VM list.
+// registerTimeout bounds the registration of a target in the store.
 const registerTimeout = 5 * time.Second
 
 func targetCommand() *ffcli.Command {
@@ -25,9 +24,10 @@
 	flags := flag.NewFlagSet("standin target", flag.ContinueOnError)
 	listen := flags.String("listen", "127.0.0.1:0", "address to listen on")
 	id := flags.String("id", "target", "ID of the target")
-	vm := flags.String("vm", "", "VM of the target in the VM list")
+	vm := flags.String("vm", "", "VM of the target, under which it is registered")
 	zone := flags.String("zone", "", "zone of the VM")
-	vmList := flags.String("vmlist", "", "URL of a stand-in VM list to register in")
+	store := flags.String("store", "", "URL of a stand-in store to register in")
+	service := flags.String("service", "target", "service of the target")
 	flags.IntVar(&options.Concurrency, "concurrency", 4, "requests that run at a time")
 	flags.IntVar(&options.Queue, "queue", 8, "requests that may wait")
 	flags.DurationVar(&options.ServiceTime, "service-time", 5*time.Millisecond, "time that a request takes")
@@ -47,25 +47,30 @@
 			defer func() { _ = file.Close() }()
 			options.Journal = file.Write
 		}
-		entry := platform.VM{ID: model.VMID(*vm), Zone: model.Zone(*zone), State: platform.VMLive}
-		return serve(ctx, *listen, standin.NewTarget(options), func(string) error {
-			if *vm == "" || *vmList == "" {
+		return serve(ctx, *listen, standin.NewTarget(options), func(address string) error {
+			if *vm == "" || *store == "" {
 				return nil
 			}
-			return register(ctx, *vmList, entry)
+			return register(ctx, *store, standin.Registration{
+				VM: model.VMID(*vm), Service: model.Service(*service), Address: address, Zone: model.Zone(*zone),
+			})
 		})
 	})
 }
 
-// register adds a VM to a stand-in VM list.
-func register(ctx context.Context, vmList string, entry platform.VM) error {
+// register lists a VM in a stand-in store.
+func register(ctx context.Context, store string, listed standin.Registration) error {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	body, err := json.Marshal(standin.VMListChange{Set: []platform.VM{entry}})
+	put, err := listed.Register()
 	if err != nil {
 		return err
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, vmList+"/control", bytes.NewReader(body))
+	body, err := json.Marshal(put)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, store+standin.PutPath, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
@@ -75,7 +80,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("VM list answered with status %d", response.StatusCode)
+		return fmt.Errorf("store answered with status %d", response.StatusCode)
 	}
 	return nil
 }
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -27,7 +27,7 @@
 			e.log.Error("Reading the log ended.", logging.SystemError(err))
 		}
 	})
-	e.spawn(func() { pollVMList(work, e.plugins.vmList, e.loop, &outage{changed: e.onVMList}) })
+	e.spawn(func() { pollVMList(work, e.plugins.vmList, e.loop, &outage{changed: e.onVMList}, e.log) })
 	e.spawn(func() { e.hotKeys.report(work, e.loop, e.hotKeyRate) })
 	e.spawn(func() { e.forgetIdleTenants(work) })
 	e.log.Info("Started.", logging.VM(e.settings.VM), logging.Zone(e.settings.Zone))
--- a/internal/entry/streams.go
+++ b/internal/entry/streams.go
@@ -75,9 +75,10 @@
 }
 
 // pollVMList reads the VM list until ctx ends.
-func pollVMList(ctx context.Context, list platform.VMList, l *loop, health *outage) {
+func pollVMList(ctx context.Context, list platform.VMList, l *loop, health *outage, logger *logging.Logger) {
 	ticker := time.NewTicker(vmListInterval)
 	defer ticker.Stop()
+	warned := map[string]bool{}
 	for {
 		limited, cancel := context.WithTimeout(ctx, vmListTimeout)
 		reply, err := list.List(limited)
@@ -86,6 +87,12 @@
 			health.note(err)
 		}
 		if err == nil {
+			for _, name := range reply.Damaged {
+				if !warned[name] {
+					warned[name] = true
+					logger.Warn("A registration cannot be read and names no VM.", logging.Name(name))
+				}
+			}
 			l.post(ctx, control.VMListRead{List: reply})
 		}
 		select {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -55,8 +55,6 @@
 	applyDelta func(now model.Instant, record platform.Record) bool
 	// read is told of each read: when the topic was known to end at the offset end.
 	read func(known model.Instant, end uint64)
-	// direct reports whether this VM has to read the topic itself although the leader passes it on; nil means never.
-	direct func() bool
 
 	lost bool
 
@@ -113,7 +111,7 @@
 
 // rest returns how long this VM need not read the topic.
 func (f *follower) rest() time.Duration {
-	if f.gw.control.leading.Load() || f.direct != nil && f.direct() {
+	if f.gw.control.leading.Load() {
 		return 0
 	}
 	f.mu.Lock()
@@ -339,12 +337,11 @@
 		wait: func() time.Duration { return 0 },
 		list: g.listTargets,
 		change: func(now model.Instant, record platform.Record) *passedRecord {
-			if !g.changeTarget(now, record) {
+			if !g.changeTarget(now, record) && !g.watched.has(now, model.TargetID(record.Key)) {
 				return nil
 			}
 			return whole(record)
 		},
-		direct: func() bool { return g.state.anyFailed() },
 	}
 	return f
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -15,6 +15,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tarragonpoint/tarragonpoint/internal/logging"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/registry"
 	"github.com/tarragonpoint/tarragonpoint/internal/standin/platformstub"
 )
 
@@ -50,12 +52,12 @@
 		f.targets[id] = target
 		f.register(id, service, "a", "ready")
 	}
-	f.gateway = f.startVM()
+	f.gateway = f.startVM("vm-1")
 	return f
 }
 
 // startVM starts a gateway. It registers targets again while it waits, as targets report all the time.
-func (f *fixture) startVM() *gateway {
+func (f *fixture) startVM(name string) *gateway {
 	free := func() string {
 		listener, err := net.Listen("tcp4", "127.0.0.1:0")
 		require.NoError(f.t, err)
@@ -63,7 +65,7 @@
 		return listener.Addr().String()
 	}
 	g, err := newGateway(Settings{
-		VM: "vm-1", Zone: "a", Region: "north", Zones: "a=north,b=south", ListenCallers: free(), ListenReady: free(),
+		VM: name, Zone: "a", Region: "north", Zones: "a=north,b=south", ListenCallers: free(), ListenReady: free(),
 		ListenPeers: free(), ListenMetrics: free(), StoreAddress: f.store.Address(), RetryShare: 0.2,
 		RetryWindow: 10 * time.Second, RetryBurst: 1000, HoldMax: 10 * time.Second, Grace: 2 * time.Second, ColdFactor: 1.5, ColdBurst: 5,
 	}, logging.Discard())
@@ -323,7 +325,7 @@
 	t.Parallel()
 	f := startFixture(t)
 	require.Eventually(t, f.gateway.control.leading.Load, settleTime, 10*time.Millisecond)
-	second := f.startVM()
+	second := f.startVM("vm-1")
 	require.Eventually(t, second.hearsLeader, settleTime, 10*time.Millisecond)
 	f.publish(6, "3s")
 	require.Eventually(t, func() bool { return second.state.config.Load().Version == 6 }, settleTime, 10*time.Millisecond)
@@ -350,3 +352,31 @@
 		}
 	}
 }
+
+// Guards against a fleet in which every VM that could not reach some target reads all reports of all targets by itself:
+// the leader passes the next report of such a target on, although it changes nothing for the leader.
+func TestUnreachableTargetsReportComesFromTheLeader(t *testing.T) {
+	f := startFixture(t)
+	other := f.startVM("vm-2")
+	leader, follower := f.gateway, other
+	require.Eventually(t, func() bool {
+		if other.control.leading.Load() {
+			leader, follower = other, f.gateway
+		}
+		return leader.control.leading.Load() && follower.hearsLeader() && follower.place.Load() != nil
+	}, settleTime, 10*time.Millisecond)
+	var target registry.Entry
+	follower.state.withRegistry(func(r *registry.Registry) {
+		now := follower.clock.Now()
+		target, _ = r.Lookup(now, "d-1")
+		r.Failed(now, target.Target.Life())
+	})
+	require.Equal(t, []model.TargetID{"d-1"}, follower.state.failedTargets())
+	require.Eventually(t, func() bool {
+		f.register("d-1", "desk", "a", "ready")
+		return len(follower.state.failedTargets()) == 0
+	}, settleTime, 200*time.Millisecond)
+	for _, topic := range follower.followers {
+		require.Eventually(t, func() bool { return topic.rest() > 0 }, settleTime, 10*time.Millisecond, topic.name)
+	}
+}
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -70,7 +70,15 @@
 }
 
 func (g *gateway) report() hub.Report {
-	return hub.Report{VM: g.settings.VM, LinkMbps: g.settings.LinkMbps, Services: g.work.take()}
+	return hub.Report{
+		VM: g.settings.VM, LinkMbps: g.settings.LinkMbps, Services: g.work.take(), Failed: g.state.failedTargets(),
+	}
+}
+
+// takeReport applies the report of a VM while this one leads.
+func (g *gateway) takeReport(report hub.Report) {
+	g.load.add(report)
+	g.watched.add(g.clock.Now(), report.Failed)
 }
 
 // serveLink sends reports and applies pushes until the link breaks or another VM leads.
--- a/internal/gateway/role.go
+++ b/internal/gateway/role.go
@@ -67,6 +67,7 @@
 	followers []*follower
 	load      *keyLoad
 	work      *keyWork
+	watched   *watchList
 	hub       *hub.Server
 	outage    *outage
 	split     *splitter
@@ -115,10 +116,10 @@
 		settings: settings, clock: newClock(), log: log, metrics: newMetrics(),
 		store: platform.NewStore(settings.StoreAddress), targets: platform.NewTargets(),
 		state: newState(regions), picker: picker.New(rand.Float64), work: newKeyWork(), newLeader: make(chan struct{}, 1), outage: newOutage(),
-		split: newSplitter(), cold: newColdGate(), deadlines: newDeadlines(), budgets: map[model.Service]budget{},
+		watched: newWatchList(), split: newSplitter(), cold: newColdGate(), deadlines: newDeadlines(), budgets: map[model.Service]budget{},
 	}
 	g.load = newKeyLoad(g.clock.Now)
-	g.hub = hub.NewServer(g.clock.Now, func() bool { return g.control.leading.Load() }, g.load.add)
+	g.hub = hub.NewServer(g.clock.Now, func() bool { return g.control.leading.Load() }, g.takeReport)
 	g.requests, g.endRequests = context.WithCancel(context.Background())
 	incarnation := strconv.FormatUint(rand.Uint64(), 36)
 	g.control = newControl(g, settings.VM+"/"+incarnation)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -87,9 +87,9 @@
 	return s.registryRead
 }
 
-// anyFailed reports whether this VM waits for a report of a target that it found unreachable.
-func (s *state) anyFailed() bool {
+// failedTargets returns the targets that this VM could not reach and that have not reported since.
+func (s *state) failedTargets() []model.TargetID {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.registry.AnyFailed()
+	return s.registry.Failures()
 }
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -56,6 +56,8 @@
 	// LinkMbps is the bandwidth of the VM's link, in Mbit/s.
 	LinkMbps float64
 	Services map[model.Service][]Bucket
+	// Failed lists the targets that the VM could not reach and that have not reported since.
+	Failed []model.TargetID
 }
 
 // Place is a VM's place among all VMs.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -1,14 +1,5 @@
-// Package platform defines the router's view of the platform: the append-only log service and the VM list.
-// The HTTP plug-ins of this package speak the protocol below.
-//
-// Log service:
-//
-//	POST /v1/streams/{stream}/records            body: one record; answer: AppendReply
-//	GET  /v1/streams/{stream}/records?from=N&max=M&wait_ms=W   answer: ReadReply; 410 with ReadReply.Oldest if N has expired
-//
-// VM list:
-//
-//	GET /v1/vms                                  answer: VMListReply
+// Package platform defines the entry role's view of the platform: an append-only log and the list of VMs. The plug-ins of
+// this package find both in the platform's store, whose protocol package platform in the root of the module speaks.
 package platform
 
 import (
@@ -34,26 +25,19 @@
 	ErrSettings = errNamespace.NewType("settings")
 )
 
-// AppendReply answers an append.
-type AppendReply struct {
-	Offset model.Offset `json:"offset"`
-}
-
 // StoredRecord is one record as the log stores it.
 type StoredRecord struct {
-	Offset model.Offset `json:"offset"`
-	Data   []byte       `json:"data"`
-	// TimeMillis is the append time on the log's clock, in ms since 1970.
-	TimeMillis int64 `json:"time_ms"`
+	Offset model.Offset
+	Data   []byte
 }
 
 // ReadReply answers a read. Records are contiguous and start at the requested offset.
 type ReadReply struct {
 	// Oldest is the oldest offset that is still kept.
-	Oldest model.Offset `json:"oldest"`
+	Oldest model.Offset
 	// End is the offset that the next appended record will get.
-	End     model.Offset   `json:"end"`
-	Records []StoredRecord `json:"records"`
+	End     model.Offset
+	Records []StoredRecord
 }
 
 // Log is the append-only log service.
@@ -76,18 +60,20 @@
 
 // VM is one entry of the platform's list.
 type VM struct {
-	ID    model.VMID `json:"id"`
-	Zone  model.Zone `json:"zone"`
-	State VMState    `json:"state"`
+	ID    model.VMID
+	Zone  model.Zone
+	State VMState
 	// PeerAddress is set for entry VMs, host:port.
-	PeerAddress string `json:"peer_address,omitempty"`
+	PeerAddress string
 }
 
 // VMListReply is the answer of the VM list.
 type VMListReply struct {
 	// Version grows with every change of the list.
-	Version uint64 `json:"version"`
-	VMs     []VM   `json:"vms"`
+	Version uint64
+	VMs     []VM
+	// Damaged lists registrations that cannot be read.
+	Damaged []string
 }
 
 // VMList is the platform's lagging list of VMs.
--- a/internal/platform/loghttp_test.go
+++ b/internal/platform/store_test.go
@@ -6,7 +6,6 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/joomcode/errorx"
 	"github.com/stretchr/testify/require"
@@ -21,25 +20,24 @@
 
 func (h host) PlatformURL() string { return string(h) }
 
-func startLog(t *testing.T, options standin.LogOptions) (*standin.Log, *platform.HTTPLog) {
-	service := standin.NewLog(options)
+func startLog(t *testing.T, options standin.StoreOptions) (*standin.Store, *platform.StoreLog) {
+	service := standin.NewStore(options)
 	server, err := standin.Listen("127.0.0.1:0", service)
 	require.NoError(t, err)
 	t.Cleanup(server.Close)
-	client := &platform.HTTPLog{}
+	client := &platform.StoreLog{}
 	require.NoError(t, client.Provision(host(server.URL())))
-	t.Cleanup(func() { _ = client.Stop(context.Background()) })
 	return service, client
 }
 
 // Guards against an append that is silently sent again when its answer is lost: the caller must learn that the
 // outcome is unclear, and the log must hold one record.
 func TestAppendWithLostAnswerIsUnavailableAndStoredOnce(t *testing.T) {
-	service, client := startLog(t, standin.LogOptions{})
+	service, client := startLog(t, standin.StoreOptions{})
 	ctx := context.Background()
 	_, err := client.Append(ctx, record.ConfigStream, []byte("first"))
 	require.NoError(t, err)
-	service.SetFault(standin.LogFault{Mode: standin.LogUp, LoseNextAnswers: 1})
+	service.SetFault(standin.StoreFault{Mode: standin.StoreUp, LoseNextAnswers: 1})
 	_, err = client.Append(ctx, record.ConfigStream, []byte("second"))
 	require.True(t, errorx.IsOfType(err, platform.ErrUnavailable), "%v", err)
 	reply, err := client.Read(ctx, record.ConfigStream, 2, 10, 0)
@@ -48,9 +46,29 @@
 	require.Equal(t, "second", string(reply.Records[0].Data))
 }
 
+// Guards against offsets that start elsewhere than at 1, records that a reader gets twice or never, and a limit that is
+// not kept.
+func TestReadGivesContiguousRecords(t *testing.T) {
+	_, client := startLog(t, standin.StoreOptions{})
+	ctx := context.Background()
+	for i, text := range []string{"a", "b", "c"} {
+		offset, err := client.Append(ctx, record.AssignStream, []byte(text))
+		require.NoError(t, err)
+		require.Equal(t, model.Offset(i+1), offset)
+	}
+	reply, err := client.Read(ctx, record.AssignStream, 2, 1, 0)
+	require.NoError(t, err)
+	require.Equal(t, platform.ReadReply{
+		Oldest: 1, End: 4, Records: []platform.StoredRecord{{Offset: 2, Data: []byte("b")}},
+	}, reply)
+	reply, err = client.Read(ctx, record.AssignStream, 4, 1, 0)
+	require.NoError(t, err)
+	require.Empty(t, reply.Records)
+}
+
 // Guards against an expired offset that looks like an outage, and against a lost Oldest.
 func TestReadOfExpiredOffsetNamesTheOldest(t *testing.T) {
-	_, client := startLog(t, standin.LogOptions{KeepRecords: 2})
+	_, client := startLog(t, standin.StoreOptions{KeepRecords: 2})
 	for range 5 {
 		_, err := client.Append(context.Background(), record.AssignStream, []byte("x"))
 		require.NoError(t, err)
@@ -63,15 +81,15 @@
 // Guards against answers that would skip records, exhaust memory, or pass for an empty list of VMs.
 func TestMalformedAnswersAreUnavailable(t *testing.T) {
 	bodies := []string{
-		`{"records":[{"offset":7}]}`, `{"offset":0`, `{}` + strings.Repeat(" ", 2000), "",
+		"short", strings.Repeat("\x00", 16) + "\x00\x00\x00\x09cut", strings.Repeat("\x00", 16) + "\xff\xff\xff\xff", "",
 	}
 	for _, body := range bodies {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(body)) }))
-		log := &platform.HTTPLog{URL: server.URL, MaxAnswer: 1000}
+		log := &platform.StoreLog{URL: server.URL}
 		require.NoError(t, log.Provision(nil))
 		_, err := log.Read(context.Background(), record.ConfigStream, 3, 10, 0)
 		require.True(t, errorx.IsOfType(err, platform.ErrUnavailable), "%q: %v", body, err)
-		vms := &platform.HTTPVMList{URL: server.URL, MaxAnswer: 1000}
+		vms := &platform.StoreVMList{URL: server.URL}
 		require.NoError(t, vms.Provision(nil))
 		_, err = vms.List(context.Background())
 		require.True(t, errorx.IsOfType(err, platform.ErrUnavailable), "%q: %v", body, err)
@@ -79,9 +97,33 @@
 	}
 }
 
+// Guards against a damaged registration that hides the others, and against VMs whose state or address is lost.
+func TestListNamesRegisteredVMs(t *testing.T) {
+	service, client := startLog(t, standin.StoreOptions{})
+	for _, listed := range []standin.Registration{
+		{VM: "e-1", Service: platform.EntryService, Address: "127.0.0.1:1", Zone: "a"},
+		{VM: "t-1", Service: "desk", Address: "127.0.0.1:2", Zone: "b", State: standin.StateDraining},
+		{VM: "gone", Service: "desk", Address: "127.0.0.1:3", Zone: "b"},
+	} {
+		put, err := listed.Register()
+		require.NoError(t, err)
+		service.Put(put)
+	}
+	service.Put(standin.Unregister("gone"))
+	service.Put(standin.StorePut{Topic: standin.RegistrationTopic, Records: []standin.Record{{Key: "odd", Value: []byte("{")}}})
+	list := &platform.StoreVMList{URL: client.URL}
+	require.NoError(t, list.Provision(nil))
+	reply, err := list.List(context.Background())
+	require.NoError(t, err)
+	require.Equal(t, []platform.VM{
+		{ID: "e-1", Zone: "a", State: platform.VMLive, PeerAddress: "127.0.0.1:1"}, {ID: "t-1", Zone: "b", State: platform.VMLeaving},
+	}, reply.VMs)
+	require.Equal(t, []string{"odd"}, reply.Damaged)
+}
+
 // Guards against a call that hangs for as long as a silent service does.
 func TestSilentServiceEndsByTimeout(t *testing.T) {
-	service, _ := startLog(t, standin.LogOptions{})
+	service, _ := startLog(t, standin.StoreOptions{})
 	server, err := standin.Listen("127.0.0.1:0", service)
 	require.NoError(t, err)
 	t.Cleanup(server.Close)
@@ -89,13 +131,13 @@
 	require.NoError(t, err)
 	t.Cleanup(relay.Close)
 	relay.SetSilent(true)
-	client := &platform.HTTPLog{URL: "http://" + relay.Address, Timeout: 30 * time.Millisecond}
+	client := &platform.StoreLog{URL: "http://" + relay.Address}
 	require.NoError(t, client.Provision(nil))
 	_, err = client.Append(context.Background(), record.ConfigStream, []byte("x"))
 	require.True(t, errorx.IsOfType(err, platform.ErrUnavailable), "%v", err)
 }
 
 func TestProvisionRefusesUnusableURL(t *testing.T) {
-	require.True(t, errorx.IsOfType((&platform.HTTPLog{}).Provision(host("log:80")), platform.ErrSettings))
-	require.True(t, errorx.IsOfType((&platform.HTTPVMList{}).Provision(nil), platform.ErrSettings))
+	require.True(t, errorx.IsOfType((&platform.StoreLog{}).Provision(host("log:80")), platform.ErrSettings))
+	require.True(t, errorx.IsOfType((&platform.StoreVMList{}).Provision(nil), platform.ErrSettings))
 }
--- a/internal/platform/watermill.go
+++ b/internal/platform/watermill.go
@@ -1,6 +1,3 @@
-// go.sum has no entry for github.com/pkg/errors, which the message package of watermill imports. Remove the build
-// constraint once `go get github.com/ThreeDotsLabs/watermill/message@v1.5.1` has added it.
-
 package platform
 
 import (
--- a/internal/platform/watermill_test.go
+++ b/internal/platform/watermill_test.go
@@ -14,7 +14,7 @@
 
 // Guards against a message that is skipped after a negative acknowledgement, and against one that overtakes another.
 func TestSubscriberDeliversInOrderAndAgainAfterNack(t *testing.T) {
-	_, client := startLog(t, standin.LogOptions{})
+	_, client := startLog(t, standin.StoreOptions{})
 	publisher := &platform.Publisher{Log: client}
 	for _, text := range []string{"a", "b", "c"} {
 		require.NoError(t, publisher.Publish("config", message.NewMessage(text, []byte(text))))
@@ -39,8 +39,8 @@
 
 // Guards against a lost answer that is reported as success or as a clear failure.
 func TestPublishWithLostAnswerIsUnavailable(t *testing.T) {
-	service, client := startLog(t, standin.LogOptions{})
-	service.SetFault(standin.LogFault{Mode: standin.LogUp, LoseNextAnswers: 1})
+	service, client := startLog(t, standin.StoreOptions{})
+	service.SetFault(standin.StoreFault{Mode: standin.StoreUp, LoseNextAnswers: 1})
 	err := (&platform.Publisher{Log: client}).Publish("config", message.NewMessage("a", []byte("a")))
 	require.True(t, errorx.IsOfType(err, platform.ErrUnavailable), "%v", err)
 	require.Equal(t, uint64(1), service.Totals().Appends)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -172,14 +172,15 @@
 	}
 }
 
-// AnyFailed reports whether a target that could not be reached has not reported since.
-func (r *Registry) AnyFailed() bool {
-	for _, e := range r.entries {
+// Failures returns the targets that could not be reached and have not reported since.
+func (r *Registry) Failures() []model.TargetID {
+	var failed []model.TargetID
+	for id, e := range r.entries {
 		if e.failedAt != 0 {
-			return true
+			failed = append(failed, id)
 		}
 	}
-	return false
+	return failed
 }
 
 // State says whether a target may get work.
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -68,13 +68,13 @@
 	r.Failed(at(time.Second), life)
 	entry, _ := r.Lookup(at(2*time.Second), "x")
 	assert.Equal(t, Unavailable, entry.State)
-	assert.True(t, r.AnyFailed())
+	assert.Len(t, r.Failures(), 1)
 	r.Report(at(3*time.Second), target("x"), 2*time.Second)
 	entry, _ = r.Lookup(at(4*time.Second), "x")
 	assert.Equal(t, Cold, entry.State)
 	entry, _ = r.Lookup(at(5100*time.Millisecond), "x")
 	assert.Equal(t, Serving, entry.State)
-	assert.False(t, r.AnyFailed())
+	assert.Empty(t, r.Failures())
 }
 
 // Reports of a former life that are read late must not replace a newer life.
--- a/internal/testbed/cluster.go
+++ b/internal/testbed/cluster.go
@@ -40,14 +40,14 @@
 type Cluster struct {
 	State   config.State
 	Targets map[model.TargetID]*Target
-	LogURL  string
-	Zones   []model.Zone
+	// StoreURL is the base URL of the platform's store.
+	StoreURL string
+	Zones    []model.Zone
 
 	options   Options
 	mutex     sync.Mutex
 	entries   []*Entry
 	processes []*Process
-	listURL   string
 	// zoneLogs are the connections of each zone to the log.
 	zoneLogs map[model.Zone]*standin.Relay
 	client   *http.Client
@@ -55,7 +55,7 @@
 	commands int
 }
 
-// Start starts the log, the VM list, all targets and all entry VMs. Close ends everything, also after an error.
+// Start starts the store, all targets and all entry VMs. Close ends everything, also after an error.
 func Start(ctx context.Context, options Options) (*Cluster, error) {
 	c := &Cluster{
 		options:  options,
@@ -137,19 +137,15 @@
 	return p, nil
 }
 
-// startPlatform starts the log with one relay for each zone, and the VM list.
+// startPlatform starts the store, with one relay for each zone.
 func (c *Cluster) startPlatform(ctx context.Context) error {
-	log, err := c.startStandIn(ctx, "log")
+	store, err := c.startStandIn(ctx, "store")
 	if err != nil {
 		return err
 	}
-	list, err := c.startStandIn(ctx, "vmlist")
-	if err != nil {
-		return err
-	}
-	c.LogURL, c.listURL = "http://"+log, "http://"+list
+	c.StoreURL = "http://" + store
 	for _, zone := range c.Zones {
-		relay, err := standin.NewRelay(log)
+		relay, err := standin.NewRelay(store)
 		if err != nil {
 			return err
 		}
--- a/internal/testbed/control.go
+++ b/internal/testbed/control.go
@@ -12,6 +12,8 @@
 
 	"github.com/tarragonpoint/tarragonpoint/internal/admin"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/platform"
+	"github.com/tarragonpoint/tarragonpoint/internal/record"
 	"github.com/tarragonpoint/tarragonpoint/internal/standin"
 )
 
@@ -21,20 +23,36 @@
 // settledTime is the time without a move after which a placement counts as settled. It exceeds the time of a move.
 const settledTime = 1500 * time.Millisecond
 
-// SetLog sets a fault of the log service: down, up, slow, or answers that are lost after the write.
-func (c *Cluster) SetLog(ctx context.Context, fault standin.LogFault) error {
-	return c.post(ctx, c.LogURL+"/control", fault)
+// SetLog sets a fault of the log: down, up, slow, or answers that are lost after the write. The list of VMs, which is in
+// the same store, stays up.
+func (c *Cluster) SetLog(ctx context.Context, fault standin.StoreFault, streams ...record.Stream) error {
+	for _, stream := range streams {
+		fault.Topic = platform.Topic(stream)
+		if err := c.post(ctx, c.StoreURL+standin.ControlPath, fault); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
-// LogTotals returns the counters of the log service.
-func (c *Cluster) LogTotals(ctx context.Context) (standin.LogTotals, error) {
-	var totals standin.LogTotals
-	return totals, c.get(ctx, c.LogURL+"/control/totals", &totals)
+// LogTotals returns the counters of the store.
+func (c *Cluster) LogTotals(ctx context.Context) (standin.StoreTotals, error) {
+	var totals standin.StoreTotals
+	return totals, c.get(ctx, c.StoreURL+standin.TotalsPath, &totals)
+}
+
+// register lists an entry VM.
+func (c *Cluster) register(ctx context.Context, e *Entry) error {
+	put, err := standin.Registration{VM: e.VM, Service: platform.EntryService, Address: e.Peers, Zone: e.Zone}.Register()
+	if err != nil {
+		return err
+	}
+	return c.post(ctx, c.StoreURL+standin.PutPath, put)
 }
 
-// ChangeVMList changes the VM list.
-func (c *Cluster) ChangeVMList(ctx context.Context, change standin.VMListChange) error {
-	return c.post(ctx, c.listURL+"/control", change)
+// unregister takes a VM out of the list.
+func (c *Cluster) unregister(ctx context.Context, vm model.VMID) error {
+	return c.post(ctx, c.StoreURL+standin.PutPath, standin.Unregister(vm))
 }
 
 // ControlTarget freezes, stalls, cools or drains a target.
--- a/internal/testbed/entry.go
+++ b/internal/testbed/entry.go
@@ -9,8 +9,6 @@
 	"time"
 
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
-	"github.com/tarragonpoint/tarragonpoint/internal/platform"
-	"github.com/tarragonpoint/tarragonpoint/internal/standin"
 )
 
 const (
@@ -59,8 +57,7 @@
 		}
 		*address = free
 	}
-	listed := platform.VM{ID: vm, Zone: zone, State: platform.VMLive, PeerAddress: e.Peers}
-	if err := c.ChangeVMList(ctx, standin.VMListChange{Set: []platform.VM{listed}}); err != nil {
+	if err := c.register(ctx, e); err != nil {
 		return nil, err
 	}
 	var seeds []string
@@ -70,7 +67,7 @@
 	e.command = command{name: string(vm), path: c.options.Programs.Router, variables: []string{peerKeys, cutVariable + "=" + e.cutFile},
 		args: []string{"entry", "-vm-id", string(vm), "-zone", string(zone), "-region", string(c.State.RegionOf(zone)),
 			"-listen-callers", e.Callers, "-listen-admin", e.Admin, "-listen-peers", e.Peers, "-peers", strings.Join(seeds, ","),
-			"-platform-log-url", "http://" + c.zoneLogs[zone].Address, "-platform-vmlist-url", c.listURL,
+			"-platform-log-url", "http://" + c.zoneLogs[zone].Address, "-platform-vmlist-url", c.StoreURL,
 			"-drain-time", drainTime.String()}}
 	p, err := c.run(e.command)
 	if err != nil {
@@ -100,7 +97,7 @@
 	c.mutex.Lock()
 	c.entries = slices.DeleteFunc(c.entries, func(other *Entry) bool { return other == e })
 	c.mutex.Unlock()
-	return c.ChangeVMList(ctx, standin.VMListChange{Gone: []model.VMID{e.VM}})
+	return c.unregister(ctx, e.VM)
 }
 
 // StopEntries stops all entry VMs gracefully, all at once.
--- a/internal/testbed/faults_test.go
+++ b/internal/testbed/faults_test.go
@@ -71,7 +71,7 @@
 	load := b.load()
 	defer load.Stop()
 	owner := b.owner("key-1")
-	require.NoError(t, b.SetLog(b.ctx, standin.LogFault{Mode: standin.LogUp, LoseNextAnswers: 2, Stream: record.AssignStream}))
+	require.NoError(t, b.SetLog(b.ctx, standin.StoreFault{Mode: standin.StoreUp, LoseNextAnswers: 2}, record.AssignStream))
 	b.Targets[owner].Pause()
 	b.pause(pauseTime)
 	b.Targets[owner].Resume()
@@ -89,7 +89,7 @@
 	b := newBed(t)
 	load := b.load()
 	defer load.Stop()
-	require.NoError(t, b.SetLog(b.ctx, standin.LogFault{Mode: standin.LogDown}))
+	require.NoError(t, b.SetLog(b.ctx, standin.StoreFault{Mode: standin.StoreDown}, record.ConfigStream, record.AssignStream))
 	down := time.Now()
 	state := b.State
 	state.Rules.HotKeyRate = 60
@@ -102,8 +102,8 @@
 		exchange := b.caller.Do(b.ctx, e, b.request("key-1", false))
 		require.True(t, exchange.Ran(), "%v", exchange)
 	}
-	require.NoError(t, b.SetLog(b.ctx, standin.LogFault{Mode: standin.LogUp, LoseNextAnswers: 1, Stream: record.ConfigStream}))
-	require.NoError(t, b.SetLog(b.ctx, standin.LogFault{Mode: standin.LogUp}))
+	require.NoError(t, b.SetLog(b.ctx, standin.StoreFault{Mode: standin.StoreUp, LoseNextAnswers: 1}, record.ConfigStream))
+	require.NoError(t, b.SetLog(b.ctx, standin.StoreFault{Mode: standin.StoreUp}, record.AssignStream))
 	accepted, err := b.Publish(b.ctx, state, b.version)
 	require.NoError(t, err)
 	require.Equal(t, result.ExitOK, accepted.ExitCode, accepted.Output)
--- a/internal/testbed/operator.go
+++ b/internal/testbed/operator.go
@@ -43,7 +43,7 @@
 	c.commands++
 	name := fmt.Sprintf("operator-%d", c.commands)
 	c.mutex.Unlock()
-	variables := []string{"TARRAGONPOINT_PLATFORM_LOG_URL=" + c.LogURL, "TARRAGONPOINT_AUTHOR=" + name}
+	variables := []string{"TARRAGONPOINT_PLATFORM_LOG_URL=" + c.StoreURL, "TARRAGONPOINT_AUTHOR=" + name}
 	p, err := c.run(command{name: name, path: c.options.Programs.Router, args: args, variables: variables})
 	if err != nil {
 		return Finished{}, err
--- a/internal/testbed/target.go
+++ b/internal/testbed/target.go
@@ -58,7 +58,7 @@
 	service := c.State.Services[listed.Service]
 	journal := filepath.Join(c.options.Dir, string(listed.ID)+".journal")
 	args := []string{"target", "--id", string(listed.ID), "--listen", string(listed.Address), "--journal", journal,
-		"--vm", string(listed.VM), "--zone", string(listed.Zone), "--vmlist", c.listURL,
+		"--vm", string(listed.VM), "--zone", string(listed.Zone), "--store", c.StoreURL, "--service", string(listed.Service),
 		"--concurrency", strconv.Itoa(service.Concurrency), "--cold-start", service.ColdStart.String(),
 		"--cold-initial", strconv.Itoa(service.ColdInitial)}
 	if service.Fencing != route.FencingChecked {
