Log what the estimate of a refusal rests on

Change: picker.Estimate names its inputs; request lines carry the queue, the age of the load report and the factors.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -48,8 +48,8 @@
 	retryAfter time.Duration
 	reason     string
 	target     model.TargetID
-	// expected is the estimate that decided; 0 if none did.
-	expected time.Duration
+	// estimate is the one that decided; nil if none did.
+	estimate *picker.Estimate
 	age      time.Duration
 	err      error
 }
@@ -166,7 +166,7 @@
 	verdict  placeVerdict
 	target   fleet.Target
 	age      time.Duration
-	expected time.Duration
+	estimate picker.Estimate
 	wait     time.Duration
 	reply    reply
 }
@@ -211,14 +211,14 @@
 	if !found {
 		return placement{verdict: placeRefused, reply: refuse(result.NoTarget, "no target may serve the route", loadedRetry)}
 	}
-	if decision := g.decide(now, j, choice.Expected); !decision.Send {
-		return overloaded(decision, choice.Expected)
+	if decision := g.decide(now, j, choice.Estimate.Total); !decision.Send {
+		return overloaded(decision, choice.Estimate)
 	}
 	target := targets[choice.Index]
 	if now < target.ColdUntil && !g.allowCold(now, service, target.Life(), true) {
 		return placement{verdict: placeWait, wait: coldWait}
 	}
-	return placement{verdict: placeSend, target: target, expected: choice.Expected}
+	return placement{verdict: placeSend, target: target, estimate: choice.Estimate}
 }
 
 func (g *gateway) allowCold(now model.Instant, service fleet.Service, life fleet.Life, take bool) bool {
@@ -259,9 +259,9 @@
 	return j.route.Priority < g.state.config.Load().LeastUrgent(j.service)
 }
 
-func overloaded(decision overload.Decision, expected time.Duration) placement {
+func overloaded(decision overload.Decision, estimate picker.Estimate) placement {
 	refused := refuse(result.Overloaded, decision.Reason, decision.RetryAfter)
-	refused.expected = expected
+	refused.estimate = &estimate
 	return placement{verdict: placeRefused, reply: refused}
 }
 
@@ -298,11 +298,11 @@
 	if entry.State == registry.Cold && !g.allowCold(now, service, r.Owner.Life, true) {
 		return g.placeOwnerless(now, j, "owner is cold")
 	}
-	expected := g.picker.Expected(now, g.pickerRequest(j), &entry.Target)
-	if decision := g.decide(now, j, expected); !decision.Send {
-		return overloaded(decision, expected)
+	estimate := g.picker.Estimate(now, g.pickerRequest(j), &entry.Target)
+	if decision := g.decide(now, j, estimate.Total); !decision.Send {
+		return overloaded(decision, estimate)
 	}
-	return placement{verdict: placeSend, target: entry.Target, age: entry.Age, expected: expected}
+	return placement{verdict: placeSend, target: entry.Target, age: entry.Age, estimate: estimate}
 }
 
 // placeOwnerless lets a request wait for its key's next owner while that can come in time.
@@ -370,7 +370,7 @@
 	if j.route.Kind != fleet.Idempotent || j.sends >= max(maxParallel, j.route.MaxAttempts) {
 		return never
 	}
-	return max(minHedgeDelay, time.Duration(hedgeFactor*float64(place.expected)))
+	return max(minHedgeDelay, time.Duration(hedgeFactor*float64(place.estimate.Total)))
 }
 
 // hedge makes a second attempt if there is time, room and budget for it.
@@ -515,7 +515,7 @@
 
 // judge decides what follows an attempt.
 func (g *gateway) judge(ctx context.Context, now model.Instant, j *job, t try) (reply, bool) {
-	base := reply{target: t.place.target.ID, expected: t.place.expected, age: t.place.age, err: t.err}
+	base := reply{target: t.place.target.ID, estimate: &t.place.estimate, age: t.place.age, err: t.err}
 	if t.outcome == answered {
 		base.answer = t.answer
 		base.code = result.OK
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -171,8 +171,9 @@
 	if answer.target != "" {
 		fields = append(fields, logging.TargetID(answer.target), logging.Age(answer.age))
 	}
-	if answer.expected > 0 {
-		fields = append(fields, logging.Expected(answer.expected))
+	if e := answer.estimate; e != nil {
+		fields = append(fields, logging.Expected(e.Total), logging.Queue(e.Own, e.Others), logging.ReportAge(e.ReportAge),
+			logging.Factors(e.Speed, e.Slowness, e.FailureFactor, e.LateFactor))
 	}
 	if answer.retryAfter > 0 {
 		fields = append(fields, logging.RetryAfter(answer.retryAfter))
--- a/internal/logging/fields.go
+++ b/internal/logging/fields.go
@@ -1,6 +1,7 @@
 package logging
 
 import (
+	"math"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -106,6 +107,22 @@
 // Expected is the time that an answer was expected to take.
 func Expected(time time.Duration) Field { return Field{"expected_ms", time.Milliseconds()} }
 
+// Queue is the number of this VM's requests at a target and the estimated number of other VMs'.
+func Queue(own int, others float64) Field {
+	return Field{"queue", [2]float64{float64(own), round(others)}}
+}
+
+// ReportAge is the age of the load report on which an estimate rests; negative if there was none.
+func ReportAge(age time.Duration) Field { return Field{"report_age_ms", age.Milliseconds()} }
+
+// Factors are those of an estimate: the target's speed, the slowness of its machine, its failures and its late answers.
+func Factors(speed, slowness, failures, late float64) Field {
+	return Field{"factors", [4]float64{round(speed), round(slowness), round(failures), round(late)}}
+}
+
+// round keeps two digits after the point.
+func round(value float64) float64 { return math.Round(value*100) / 100 }
+
 // RetryAfter is when a refused caller was told to come back.
 func RetryAfter(time time.Duration) Field { return Field{"retry_after_ms", time.Milliseconds()} }
 
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -115,10 +115,26 @@
 	}
 }
 
+// Estimate is when a target is expected to answer a request, and what that rests on.
+type Estimate struct {
+	Total time.Duration
+	// Own is the number of this VM's requests in flight to the target, Others the number of other VMs'.
+	Own    int
+	Others float64
+	// ReportAge is the age of the target's last load report; negative if there is none.
+	ReportAge time.Duration
+	// Speed and Slowness are the target's and its machine's work times, relative to usual.
+	Speed    float64
+	Slowness float64
+	// FailureFactor and LateFactor are by how much failures and overdue answers raise the total.
+	FailureFactor float64
+	LateFactor    float64
+}
+
 // Choice is a chosen target and when it is expected to answer.
 type Choice struct {
 	Index    int
-	Expected time.Duration
+	Estimate Estimate
 }
 
 // Choose returns the target that is expected to answer first. It returns false if there is none.
@@ -128,38 +144,45 @@
 	best := Choice{Index: -1}
 	bestCost := math.Inf(1)
 	for i := range targets {
-		expected := p.expected(now, request, &targets[i])
-		cost := float64(expected) * (1 + jitter*p.random())
+		estimate := p.estimate(now, request, &targets[i])
+		cost := float64(estimate.Total) * (1 + jitter*p.random())
 		if targets[i].Region != request.Region {
 			cost += float64(regionPreference)
 		}
 		if cost < bestCost {
 			bestCost = cost
-			best = Choice{Index: i, Expected: expected}
+			best = Choice{Index: i, Estimate: estimate}
 		}
 	}
 	return best, best.Index >= 0
 }
 
-// Expected returns when a target is expected to answer a request.
-func (p *Picker) Expected(now model.Instant, request Request, target *fleet.Target) time.Duration {
+// Estimate returns when a target is expected to answer a request.
+func (p *Picker) Estimate(now model.Instant, request Request, target *fleet.Target) Estimate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.expected(now, request, target)
+	return p.estimate(now, request, target)
 }
 
-func (p *Picker) expected(now model.Instant, request Request, target *fleet.Target) time.Duration {
+func (p *Picker) estimate(now model.Instant, request Request, target *fleet.Target) Estimate {
 	s := p.stats(now, target)
-	work := p.routeWork(request.Route) * s.speed * p.slownessAt(now, s)
-	occupied := float64(len(s.inFlight)) + p.othersAt(now, target.Service, s)
+	e := Estimate{
+		Own: len(s.inFlight), Others: p.othersAt(now, target.Service, s), ReportAge: -1, Speed: s.speed,
+		Slowness: p.slownessAt(now, s), FailureFactor: p.failurePenalty(now, s), LateFactor: p.latePenalty(now, s),
+	}
+	if s.known {
+		e.ReportAge = now.Sub(s.reported)
+	}
+	work := p.routeWork(request.Route) * e.Speed * e.Slowness
+	occupied := float64(e.Own) + e.Others
 	slots := float64(max(1, s.slots))
 	work *= 1 + crowding*min(1, occupied/slots)
 	wait := 0.0
 	if occupied >= slots {
 		wait = (occupied - slots + 1) / slots * work
 	}
-	total := (wait + work) * p.failurePenalty(now, s) * p.latePenalty(now, s)
-	return time.Duration(total) + distance(request, target)
+	e.Total = time.Duration((wait+work)*e.FailureFactor*e.LateFactor) + distance(request, target)
+	return e
 }
 
 func distance(request Request, target *fleet.Target) time.Duration {
@@ -237,7 +260,7 @@
 	defer p.mu.Unlock()
 	ticket := &Ticket{
 		life: target.Life(), route: request.Route, service: target.Service, started: now,
-		expected: p.expected(now, request, target),
+		expected: p.estimate(now, request, target).Total,
 	}
 	s := p.stats(now, target)
 	s.inFlight = append(s.inFlight, ticket)
--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -61,8 +61,8 @@
 	p.Observe(at(0), &list[0], Report{Running: 2, Waiting: 6, Slots: 2, Slowness: 1})
 	p.Observe(at(0), &list[1], Report{Slots: 2, Slowness: 1})
 	assert.Equal(t, list[1].ID, choose(t, p, at(0), list).ID)
-	busy := p.Expected(at(0), here, &list[0])
-	later := p.Expected(at(10*time.Second), here, &list[0])
+	busy := p.Estimate(at(0), here, &list[0]).Total
+	later := p.Estimate(at(10*time.Second), here, &list[0]).Total
 	assert.Less(t, later, busy)
 }
 
@@ -86,7 +86,7 @@
 			p.End(now, ticket, Result{Answered: true, Report: &Report{Slots: 2, Slowness: 1}})
 		}
 	}
-	assert.Greater(t, p.Expected(now, here, &list[1]), 2*p.Expected(now, here, &list[0]))
+	assert.Greater(t, p.Estimate(now, here, &list[1]).Total, 2*p.Estimate(now, here, &list[0]).Total)
 }
 
 // A target that fails requests while its health is good gets fewer, and is tried again later.
@@ -95,22 +95,22 @@
 	for i := 0; i < 10; i++ {
 		p.End(at(0), p.Begin(at(0), here, &list[0]), Result{Failed: true})
 	}
-	failing := p.Expected(at(0), here, &list[0])
-	assert.Greater(t, failing, 3*p.Expected(at(0), here, &list[1]))
-	assert.Less(t, p.Expected(at(20*time.Second), here, &list[0]), failing/3)
+	failing := p.Estimate(at(0), here, &list[0]).Total
+	assert.Greater(t, failing, 3*p.Estimate(at(0), here, &list[1]).Total)
+	assert.Less(t, p.Estimate(at(20*time.Second), here, &list[0]).Total, failing/3)
 }
 
 // A silent target holds its requests; an answer that is overdue counts before it ends.
 func TestOverdueAnswerCounts(t *testing.T) {
 	p, list := newPicker(), targets("a", "a")
 	p.Begin(at(0), here, &list[0])
-	soon := p.Expected(at(100*time.Millisecond), here, &list[0])
-	assert.Greater(t, p.Expected(at(3*time.Second), here, &list[0]), 4*soon)
+	soon := p.Estimate(at(100*time.Millisecond), here, &list[0]).Total
+	assert.Greater(t, p.Estimate(at(3*time.Second), here, &list[0]).Total, 4*soon)
 }
 
 func TestUnusedTargetsAreForgotten(t *testing.T) {
 	p, list := newPicker(), targets("a", "a")
-	p.Expected(at(0), here, &list[0])
+	p.Estimate(at(0), here, &list[0])
 	ticket := p.Begin(at(0), here, &list[1])
 	p.Forget(at(time.Hour), time.Minute)
 	assert.Len(t, p.targets, 1, "a target with requests in flight stays")
