Read the store less: one follower probes in an outage, the leader does not read back what it wrote

Change: the leader applies and passes on its own record when the write is answered, and reads at 400 ms; other VMs read the assignment at most every 400 ms; while the store is away one topic is tried soon and the others every 2 s or when it answers. freshUntil is atomic, as the control loop asked for it under a lock that a follower holds while it waits for that loop.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -220,13 +220,19 @@
 		c.post(func(now model.Instant) { c.manager.AppendFailed(now, unknown) })
 		return
 	}
-	table := c.gw.decodeTable(platform.Record{Key: keyAssignment, Value: raw, Offset: command.AsOf})
+	record := platform.Record{Key: keyAssignment, Value: raw, Offset: command.AsOf}
+	table := c.gw.decodeTable(record)
 	if table == nil {
 		return
 	}
 	copied := table.Clone()
 	c.post(func(now model.Instant) { c.manager.Appended(now, copied) })
 	c.gw.setTable(table)
+	for _, f := range c.gw.followers {
+		if f.topic == topicAssignment {
+			f.appended(c.gw.clock.Now(), record)
+		}
+	}
 }
 
 // grant sends a grant. The grants of one target go over one connection, one after the other.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -22,7 +23,10 @@
 	operatorWait = 1800 * time.Millisecond
 	// assignmentWait is the same for the assignment of keys, whose followers are told by targets too.
 	assignmentWait = 4 * time.Second
-	// leaderWait and leaderPace are the same for the leader, on whose reads all VMs rely.
+	// assignmentPace is the least time between two reads of the assignment. While load moves, a leader writes several
+	// tables a second, and each would wake every VM that reads for itself.
+	assignmentPace = 400 * time.Millisecond
+	// leaderWait and leaderPace are the wait and the pace of the leader, on whose reads all VMs rely.
 	leaderWait = 400 * time.Millisecond
 	leaderPace = 400 * time.Millisecond
 	// targetsEvery is the time between two reads of the targets' reports. Targets that leave must get no work 2 s after
@@ -32,6 +36,8 @@
 	// when the store comes back, so the times are spread.
 	readRetry    = 200 * time.Millisecond
 	maxReadRetry = 400 * time.Millisecond
+	// outageWait is how long a read that failed waits for another topic's reads to find the store back.
+	outageWait = 2 * time.Second
 	// topicAssignment holds the assignment of keys, under one key.
 	topicAssignment = "keyed.tarragonpoint"
 	keyAssignment   = "assignment"
@@ -45,8 +51,12 @@
 	gw    *gateway
 	// wait returns how long a read waits for a record.
 	wait func() time.Duration
-	// pace is the time between two reads that do not wait.
+	// pace is the least time between the starts of two reads.
 	pace time.Duration
+	// leaderWait is how long a read of the leader waits for a record; 0 makes it read at leaderPace.
+	leaderWait time.Duration
+	// probes is true for the follower whose reads are repeated soon while the store is away.
+	probes bool
 	// list applies the newest record of each key and returns what others need to know of them; change does the same for
 	// one new record, and returns nil if they need nothing.
 	list   func(now model.Instant, page platform.Page) []passedRecord
@@ -61,8 +71,9 @@
 	mu     sync.Mutex
 	next   uint64
 	listed bool
-	// freshUntil is how long what the leader passed on is taken as up to date.
-	freshUntil model.Instant
+	// freshUntil is how long what the leader passed on is taken as up to date. It is read without the lock, because the
+	// control loop asks for it while a follower may wait for that loop.
+	freshUntil atomic.Int64
 }
 
 const (
@@ -96,8 +107,8 @@
 		switch {
 		case err != nil:
 			failures++
-			f.gw.outage.pause(ctx, backoff(failures))
-		case f.pace > 0:
+			f.gw.outage.pause(ctx, f.retryWait(failures))
+		default:
 			sleep(ctx, f.readPace()-f.gw.clock.Now().Sub(started))
 		}
 	}
@@ -109,6 +120,25 @@
 	return wait/2 + time.Duration(rand.Int64N(int64(wait)))
 }
 
+// retryWait returns the wait after a number of failed reads in a row. While the store is away one follower tries again
+// soon, and wakes the others when it succeeds.
+func (f *follower) retryWait(failures int) time.Duration {
+	if f.probes || !f.gw.outage.isLost() || !f.gw.probing() {
+		return backoff(failures)
+	}
+	return outageWait
+}
+
+// probing reports whether the follower that probes the store reads it.
+func (g *gateway) probing() bool {
+	for _, f := range g.followers {
+		if f.probes {
+			return f.rest() <= 0
+		}
+	}
+	return false
+}
+
 // rest returns how long this VM need not read the topic.
 func (f *follower) rest() time.Duration {
 	if f.gw.control.leading.Load() {
@@ -119,26 +149,30 @@
 	if !f.listed {
 		return 0
 	}
-	return f.freshUntil.Sub(f.gw.clock.Now())
+	return f.freshFor()
 }
 
-// fresh reports whether the leader passes the topic on to this VM.
-func (f *follower) fresh() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.freshUntil > f.gw.clock.Now()
+// freshFor returns how long what the leader passed on is still taken as up to date.
+func (f *follower) freshFor() time.Duration {
+	return model.Instant(f.freshUntil.Load()).Sub(f.gw.clock.Now())
 }
 
+// fresh reports whether the leader passes the topic on to this VM.
+func (f *follower) fresh() bool { return f.freshFor() > 0 }
+
 func (f *follower) readPace() time.Duration {
-	if f.gw.control.leading.Load() {
-		return leaderPace
+	if !f.gw.control.leading.Load() {
+		return f.pace
+	}
+	if f.leaderWait > 0 {
+		return 0
 	}
-	return f.pace
+	return leaderPace
 }
 
 func (f *follower) readWait() time.Duration {
-	if f.pace == 0 && f.gw.control.leading.Load() {
-		return leaderWait
+	if f.gw.control.leading.Load() {
+		return f.leaderWait
 	}
 	return f.wait()
 }
@@ -206,6 +240,21 @@
 	return nil
 }
 
+// appended applies a record that this VM wrote, and passes it on without reading it back.
+func (f *follower) appended(now model.Instant, record platform.Record) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.listed || f.next != record.Offset {
+		// Records before it are not known yet, so the next read brings both.
+		return
+	}
+	effective := f.apply(now, []platform.Record{record})
+	f.next = record.Offset + 1
+	if f.gw.control.leading.Load() {
+		f.gw.passOn(f.topic, record.Offset, f.next, 0, effective)
+	}
+}
+
 // apply applies records and returns those that other VMs need.
 func (f *follower) apply(now model.Instant, records []platform.Record) []passedRecord {
 	var passed []passedRecord
@@ -234,7 +283,7 @@
 		}
 	}
 	f.next = batch.To
-	f.freshUntil = now.Add(passedOnFresh - time.Duration(batch.Age)*time.Millisecond)
+	f.freshUntil.Store(int64(now.Add(passedOnFresh - time.Duration(batch.Age)*time.Millisecond)))
 	f.gw.expireTargets(now, true)
 }
 
@@ -286,7 +335,7 @@
 func (g *gateway) operatorFollower() *follower {
 	return &follower{
 		name: "operator", topic: platform.TopicOperator, gw: g,
-		wait: func() time.Duration { return operatorWait },
+		wait: func() time.Duration { return operatorWait }, leaderWait: leaderWait,
 		list: g.listOperator,
 		change: func(now model.Instant, record platform.Record) *passedRecord {
 			g.applyOperator(now, record)
@@ -333,7 +382,7 @@
 
 func (g *gateway) targetFollower() *follower {
 	f := &follower{
-		name: "targets", topic: platform.TopicTargets, gw: g, pace: targetsEvery,
+		name: "targets", topic: platform.TopicTargets, gw: g, pace: targetsEvery, probes: true,
 		wait: func() time.Duration { return 0 },
 		list: g.listTargets,
 		change: func(now model.Instant, record platform.Record) *passedRecord {
@@ -464,7 +513,7 @@
 
 func (g *gateway) tableFollower() *follower {
 	return &follower{
-		name: "assignment", topic: topicAssignment, gw: g,
+		name: "assignment", topic: topicAssignment, gw: g, pace: assignmentPace,
 		wait:       func() time.Duration { return assignmentWait },
 		list:       g.listTables,
 		change:     g.changeTable,
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -14,10 +14,12 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/tarragonpoint/tarragonpoint/internal/keyspace"
 	"github.com/tarragonpoint/tarragonpoint/internal/logging"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
 	"github.com/tarragonpoint/tarragonpoint/internal/registry"
 	"github.com/tarragonpoint/tarragonpoint/internal/standin/platformstub"
+	"github.com/tarragonpoint/tarragonpoint/platform"
 )
 
 const (
@@ -380,3 +382,41 @@
 		require.Eventually(t, func() bool { return topic.rest() > 0 }, settleTime, 10*time.Millisecond, topic.name)
 	}
 }
+
+// Guards against a VM whose followers all try again several times a second while the store is away: each call is
+// priced, and one that is answered is enough to wake the others.
+func TestOneFollowerProbesTheStoreInAnOutage(t *testing.T) {
+	f := startFixture(t)
+	f.store.SetFault(platformstub.Busy)
+	probe := func() int { return f.store.TopicCalls("/log-read", platform.TopicTargets) }
+	other := func() int { return f.store.TopicCalls("/log-read", platform.TopicOperator) }
+	require.Eventually(t, f.gateway.outage.isLost, settleTime, 10*time.Millisecond)
+	probesBefore, othersBefore := probe(), other()
+	require.Eventually(t, func() bool { return probe()-probesBefore >= 12 }, settleTime, 10*time.Millisecond)
+	require.Less(t, other()-othersBefore, 6, "reads of the configuration beside 12 probes")
+	f.store.SetFault(platformstub.Healthy)
+	f.publish(2, "3s")
+	require.Eventually(t, func() bool { return f.gateway.state.config.Load().Version == 2 }, settleTime, 10*time.Millisecond)
+}
+
+// Guards against a leader that reads each assignment back before the other VMs get it, and against one that passes over
+// records that it has not read.
+func TestWrittenAssignmentIsNotReadBack(t *testing.T) {
+	f := startFixture(t)
+	g, err := newGateway(f.gateway.settings, logging.Discard())
+	require.NoError(t, err)
+	var follower *follower
+	for _, candidate := range g.followers {
+		if candidate.topic == topicAssignment {
+			follower = candidate
+		}
+	}
+	raw, err := (&keyspace.Table{Leader: "vm-1/x"}).Encode()
+	require.NoError(t, err)
+	follower.listed, follower.next = true, 5
+	follower.appended(g.clock.Now(), platform.Record{Key: keyAssignment, Value: raw, Offset: 5})
+	require.EqualValues(t, 6, follower.next)
+	require.EqualValues(t, 5, g.state.table.Load().Offset)
+	follower.appended(g.clock.Now(), platform.Record{Key: keyAssignment, Value: raw, Offset: 9})
+	require.EqualValues(t, 6, follower.next, "offsets 6 to 8 are not known yet")
+}
--- a/internal/gateway/outage.go
+++ b/internal/gateway/outage.go
@@ -74,3 +74,10 @@
 	}
 	return o.lost
 }
+
+// isLost reports whether the store is taken to be away.
+func (o *outage) isLost() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.lost
+}
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -74,12 +74,15 @@
 	delayed []delayedPut
 	faults  map[string]*StoreFault
 	groups  map[string]*group
-	calls   map[string]int
+	calls   map[call]int
 	totals  StoreTotals
 	// changed is closed and replaced when a record or a fault arrives.
 	changed chan struct{}
 }
 
+// call tells calls apart that are counted.
+type call struct{ path, topic string }
+
 type delayedPut struct {
 	at  time.Time
 	put StorePut
@@ -92,7 +95,7 @@
 	}
 	s := &Store{
 		options: options, mux: http.NewServeMux(), topics: map[string]*topic{}, faults: map[string]*StoreFault{},
-		groups: map[string]*group{}, calls: map[string]int{}, changed: make(chan struct{}),
+		groups: map[string]*group{}, calls: map[call]int{}, changed: make(chan struct{}),
 	}
 	s.mux.HandleFunc("POST /log-append", s.append)
 	s.mux.HandleFunc("GET /log-read", s.read)
@@ -108,7 +111,7 @@
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mutex.Lock()
-	s.calls[r.URL.Path]++
+	s.calls[call{path: r.URL.Path, topic: r.URL.Query().Get("topic")}]++
 	s.mutex.Unlock()
 	s.mux.ServeHTTP(w, r)
 }
@@ -144,11 +147,24 @@
 	return s.topic(name).end()
 }
 
-// Calls returns the number of calls of a path.
+// Calls returns the number of calls of a path, of all topics together.
 func (s *Store) Calls(path string) int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.calls[path]
+	count := 0
+	for made, times := range s.calls {
+		if made.path == path {
+			count += times
+		}
+	}
+	return count
+}
+
+// TopicCalls returns the number of calls of a path that concern one topic.
+func (s *Store) TopicCalls(path, topic string) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.calls[call{path: path, topic: topic}]
 }
 
 // Totals returns the counters.
