List stale topics, and add a soak of real processes

Ruled out: the outage was noticed at once; calls were not refused. Change: a VM whose knowledge is older than 2.5 s (assignment: 1 s) lists the topic instead.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,12 @@
 LINT_PACKAGES := ./...
 RACE_PACKAGES := ./internal/...
 
-.PHONY: all build test demo fuzz lint fmt verify race clean
+# Number of seeds of `make soak`, how long faults come in each, and how many run at the same time.
+SOAK_SEEDS := 50
+SOAK_LENGTH := 15s
+SOAK_PARALLEL := 5
+
+.PHONY: all build test demo fuzz soak lint fmt verify race clean
 
 all: build
 
@@ -51,6 +56,12 @@
 		seed=$$((seed + 1)); \
 	done
 
+# Random faults against real processes; SEED names the first seed.
+soak:
+	@echo "soak: seeds from $(SEED)"
+	$(GO) test ./internal/soak -count=1 -v -timeout 60m -parallel $(SOAK_PARALLEL) \
+		-soak.seed $(SEED) -soak.seeds $(SOAK_SEEDS) -soak.length $(SOAK_LENGTH)
+
 verify:
 	$(GO) mod verify
 
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -36,6 +36,11 @@
 	// when the store comes back, so the times are spread.
 	readRetry    = 200 * time.Millisecond
 	maxReadRetry = 400 * time.Millisecond
+	// topicRelist and assignmentRelist are the ages from which a VM lists a topic instead of reading what it missed. In
+	// one second 370 targets write 65 KB of reports, and a leader some tables of 20 KB; the lists have 150 and 27 KB.
+	// After a cut of 12 s, what 29 VMs had missed filled the link between two regions for 4 s.
+	topicRelist      = 2500 * time.Millisecond
+	assignmentRelist = time.Second
 	// outageWait is how long a read that failed waits for another topic's reads to find the store back.
 	outageWait = 2 * time.Second
 	// topicAssignment holds the assignment of keys, under one key.
@@ -53,6 +58,8 @@
 	wait func() time.Duration
 	// pace is the least time between the starts of two reads.
 	pace time.Duration
+	// relist is the age of what is known from which the topic is listed instead of read on.
+	relist time.Duration
 	// leaderWait is how long a read of the leader waits for a record; 0 makes it read at leaderPace.
 	leaderWait time.Duration
 	// probes is true for the follower whose reads are repeated soon while the store is away.
@@ -71,6 +78,8 @@
 	mu     sync.Mutex
 	next   uint64
 	listed bool
+	// known is when the topic was last known to end at next.
+	known model.Instant
 	// freshUntil is how long what the leader passed on is taken as up to date. It is read without the lock, because the
 	// control loop asks for it while a follower may wait for that loop.
 	freshUntil atomic.Int64
@@ -180,9 +189,9 @@
 // update reads the topic once.
 func (f *follower) update(ctx context.Context, started model.Instant) error {
 	f.mu.Lock()
-	listed, next := f.listed, f.next
+	listed, next, age := f.listed, f.next, started.Sub(f.known)
 	f.mu.Unlock()
-	if !listed {
+	if !listed || age >= f.relist {
 		return f.listAll(ctx, started)
 	}
 	err := f.readOn(ctx, started, next)
@@ -203,7 +212,7 @@
 	defer f.mu.Unlock()
 	passed := f.list(f.gw.clock.Now(), page)
 	former := f.next
-	f.next, f.listed = page.Next, true
+	f.next, f.listed, f.known = page.Next, true, started
 	if former > 0 && f.gw.control.leading.Load() {
 		// History that the store has dropped need not be read by all VMs at once.
 		f.gw.passOn(f.topic, former, page.Next, f.gw.clock.Now().Sub(started), passed)
@@ -231,6 +240,9 @@
 		started = min(started.Add(wait), now)
 	}
 	f.next = page.Next
+	if page.Next >= page.End {
+		f.known = started
+	}
 	if f.gw.control.leading.Load() {
 		f.gw.passOn(f.topic, next, page.Next, f.gw.clock.Now().Sub(started), effective)
 	}
@@ -283,6 +295,7 @@
 		}
 	}
 	f.next = batch.To
+	f.known = now.Add(-time.Duration(batch.Age) * time.Millisecond)
 	f.freshUntil.Store(int64(now.Add(passedOnFresh - time.Duration(batch.Age)*time.Millisecond)))
 	f.gw.expireTargets(now, true)
 }
@@ -335,7 +348,7 @@
 func (g *gateway) operatorFollower() *follower {
 	return &follower{
 		name: "operator", topic: platform.TopicOperator, gw: g,
-		wait: func() time.Duration { return operatorWait }, leaderWait: leaderWait,
+		wait: func() time.Duration { return operatorWait }, leaderWait: leaderWait, relist: topicRelist,
 		list: g.listOperator,
 		change: func(now model.Instant, record platform.Record) *passedRecord {
 			g.applyOperator(now, record)
@@ -382,7 +395,7 @@
 
 func (g *gateway) targetFollower() *follower {
 	f := &follower{
-		name: "targets", topic: platform.TopicTargets, gw: g, pace: targetsEvery, probes: true,
+		name: "targets", topic: platform.TopicTargets, gw: g, pace: targetsEvery, relist: topicRelist, probes: true,
 		wait: func() time.Duration { return 0 },
 		list: g.listTargets,
 		change: func(now model.Instant, record platform.Record) *passedRecord {
@@ -513,7 +526,7 @@
 
 func (g *gateway) tableFollower() *follower {
 	return &follower{
-		name: "assignment", topic: topicAssignment, gw: g, pace: assignmentPace,
+		name: "assignment", topic: topicAssignment, gw: g, pace: assignmentPace, relist: assignmentRelist,
 		wait:       func() time.Duration { return assignmentWait },
 		list:       g.listTables,
 		change:     g.changeTable,
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -388,8 +388,11 @@
 func TestOneFollowerProbesTheStoreInAnOutage(t *testing.T) {
 	f := startFixture(t)
 	f.store.SetFault(platformstub.Busy)
-	probe := func() int { return f.store.TopicCalls("/log-read", platform.TopicTargets) }
-	other := func() int { return f.store.TopicCalls("/log-read", platform.TopicOperator) }
+	calls := func(topic string) int {
+		return f.store.TopicCalls("/log-read", topic) + f.store.TopicCalls("/log-newest", topic)
+	}
+	probe := func() int { return calls(platform.TopicTargets) }
+	other := func() int { return calls(platform.TopicOperator) }
 	require.Eventually(t, f.gateway.outage.isLost, settleTime, 10*time.Millisecond)
 	probesBefore, othersBefore := probe(), other()
 	require.Eventually(t, func() bool { return probe()-probesBefore >= 12 }, settleTime, 10*time.Millisecond)
@@ -399,6 +402,24 @@
 	require.Eventually(t, func() bool { return f.gateway.state.config.Load().Version == 2 }, settleTime, 10*time.Millisecond)
 }
 
+// Guards against VMs that read all history after they were cut off: 29 VMs that had missed 12 s of reports and tables
+// filled the link between two regions, so that a new configuration came too late.
+func TestStaleTopicIsListed(t *testing.T) {
+	f := startFixture(t)
+	g, err := newGateway(f.gateway.settings, logging.Discard())
+	require.NoError(t, err)
+	targets := g.targetFollower()
+	now := g.clock.Now()
+	lists := func() int { return f.store.TopicCalls("/log-newest", platform.TopicTargets) }
+	before := lists()
+	require.NoError(t, targets.update(context.Background(), now))
+	require.Equal(t, before+1, lists())
+	require.NoError(t, targets.update(context.Background(), now))
+	require.Equal(t, before+1, lists(), "what is known is fresh")
+	require.NoError(t, targets.update(context.Background(), now.Add(topicRelist)))
+	require.Equal(t, before+2, lists())
+}
+
 // Guards against a leader that reads each assignment back before the other VMs get it, and against one that passes over
 // records that it has not read.
 func TestWrittenAssignmentIsNotReadBack(t *testing.T) {
@@ -413,7 +434,7 @@
 	}
 	raw, err := (&keyspace.Table{Leader: "vm-1/x"}).Encode()
 	require.NoError(t, err)
-	follower.listed, follower.next = true, 5
+	follower.listed, follower.next, follower.known = true, 5, g.clock.Now()
 	follower.appended(g.clock.Now(), platform.Record{Key: keyAssignment, Value: raw, Offset: 5})
 	require.EqualValues(t, 6, follower.next)
 	require.EqualValues(t, 5, g.state.table.Load().Offset)
--- /dev/null
+++ b/internal/soak/deployment_test.go
@@ -0,0 +1,196 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/standin"
+	"github.com/tarragonpoint/tarragonpoint/internal/testbed"
+)
+
+const (
+	keyedService = "review"
+	freeService  = "desk"
+	// Kinds of requests and the routes that serve them.
+	safe   = "reads"
+	unsafe = "notices"
+	keyed  = "drafts"
+
+	configText = `{"version":"r%d","resources":[
+{"entry-kind":"routes","metadata":{"name":"reads"},"spec":{"host":"a.example","path-prefix":"/reads/","kind":"safe","timeout":"3s","target-latency":"1s","priority":2,"service":"desk","max-attempts":2}},
+{"entry-kind":"routes","metadata":{"name":"notices"},"spec":{"host":"a.example","path-prefix":"/notices/","kind":"unsafe","timeout":"%dms","target-latency":"1s","priority":1,"service":"desk","max-attempts":2}},
+{"entry-kind":"routes","metadata":{"name":"drafts"},"spec":{"host":"a.example","path-prefix":"/drafts/","kind":"upload","timeout":"3s","priority":1,"service":"review","max-attempts":2}},
+{"entry-kind":"services","metadata":{"name":"desk"},"spec":{"health-path":"/health","warmup":"1s","warmup-per-s":20}},
+{"entry-kind":"services","metadata":{"name":"review"},"spec":{"health-path":"/health","warmup":"1s","warmup-per-s":20,"sharded":true}},
+{"entry-kind":"limits","metadata":{},"spec":{"max-header-bytes":16384,"max-body-bytes":65536,"header-timeout":"3s","idle-timeout":"15s"}}]}`
+
+	// startTime bounds the start of the deployment, and recoveryTime the return of service after the last fault.
+	startTime    = 30 * time.Second
+	recoveryTime = 30 * time.Second
+	// grace is the time that a VM has to stop, and stopSlack what its end may take beyond it.
+	grace     = 6 * time.Second
+	stopSlack = 10 * time.Second
+)
+
+var zones = []string{"a", "b"}
+
+// vm is one entry VM and its way to the store.
+type vm struct {
+	name, zone string
+	callers    string
+	args       []string
+	relay      *standin.Relay
+
+	mu      sync.Mutex
+	process *testbed.Process
+}
+
+func (v *vm) running() *testbed.Process {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.process
+}
+
+// deployment is a store, servers and VMs.
+type deployment struct {
+	t       *testing.T
+	dir     string
+	program string
+	ledger  *ledger
+	store   *standin.Store
+	servers []*server
+	vms     []*vm
+	version int
+}
+
+func startDeployment(t *testing.T, program string) *deployment {
+	d := &deployment{t: t, dir: t.TempDir(), program: program, ledger: newLedger(), store: standin.NewStore(standin.StoreOptions{})}
+	web := httptest.NewServer(d.store)
+	t.Cleanup(func() {
+		web.CloseClientConnections()
+		web.Close()
+	})
+	d.publish()
+	for i := range 6 {
+		service := freeService
+		if i%2 == 1 {
+			service = keyedService
+		}
+		s, err := newServer(d.ledger, d.store, fmt.Sprintf("i-%d", i), service, zones[(i/2)%len(zones)])
+		require.NoError(t, err)
+		t.Cleanup(func() {
+			s.crash()
+			s.relay.Close()
+		})
+		d.servers = append(d.servers, s)
+	}
+	for i := range 4 {
+		d.vms = append(d.vms, d.addVM(i, strings.TrimPrefix(web.URL, "http://")))
+	}
+	return d
+}
+
+func (d *deployment) addVM(i int, store string) *vm {
+	relay, err := standin.NewRelay(store)
+	require.NoError(d.t, err)
+	d.t.Cleanup(relay.Close)
+	v := &vm{name: fmt.Sprintf("vm-%d", i), zone: zones[i%len(zones)], relay: relay}
+	addresses := make([]string, 4)
+	for j := range addresses {
+		addresses[j], err = testbed.FreeAddress()
+		require.NoError(d.t, err)
+	}
+	v.callers = addresses[0]
+	v.args = []string{
+		"gateway", "-vm-id", v.name, "-zone", v.zone, "-region", "r-" + v.zone, "-zones", "a=r-a,b=r-b",
+		"-listen-callers", addresses[0], "-listen-ready", addresses[1], "-listen-peers", addresses[2], "-listen-metrics", addresses[3],
+		"-store-address", relay.Address, "-retry-burst", "1000", "-grace", grace.String(),
+	}
+	d.startVM(v)
+	d.t.Cleanup(func() { v.running().Kill() })
+	return v
+}
+
+func (d *deployment) startVM(v *vm) {
+	process, err := testbed.StartProgram(d.dir, v.name, d.program, v.args...)
+	if err != nil {
+		d.t.Errorf("%s does not start: %v", v.name, err)
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.process = process
+}
+
+// publish writes the next version of the configuration. Versions rise in uneven steps.
+func (d *deployment) publish() {
+	d.version += 1 + d.version%3
+	value := fmt.Appendf(nil, configText, d.version, 2500+d.version)
+	d.store.Put(standin.StorePut{Topic: "keyed.op", Records: []standin.Record{{Key: "config", Value: value}}})
+}
+
+func (d *deployment) evacuate(zone string, out bool) {
+	record := standin.Record{Key: "evacuate/" + zone}
+	if out {
+		record.Value = []byte("{}")
+	}
+	d.store.Put(standin.StorePut{Topic: "keyed.op", Records: []standin.Record{record}})
+}
+
+// reports registers all servers again and again until ctx ends, as they do by themselves.
+func (d *deployment) reports(ctx context.Context) {
+	ticker := time.NewTicker(reportEvery)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		for _, s := range d.servers {
+			s.report()
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// awaitService waits until each VM serves each kind of request.
+func (d *deployment) awaitService(phase string, limit time.Duration) {
+	probe := newCaller(d, phase, 0)
+	for _, v := range d.vms {
+		for _, kind := range []string{safe, unsafe, keyed} {
+			ok := assertEventually(limit, func() bool { return probe.send(v, kind) == http.StatusOK })
+			if !ok {
+				d.ledger.mu.Lock()
+				d.ledger.violate("RECOVER: %s serves no %s within %s", v.name, kind, limit)
+				d.ledger.mu.Unlock()
+			}
+		}
+	}
+}
+
+func assertEventually(limit time.Duration, holds func() bool) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if holds() {
+			return true
+		}
+	}
+	return false
+}
+
+// keepLogs copies the output of the VMs to a folder for failed seeds and returns its path.
+func (d *deployment) keepLogs(seed uint64) string {
+	kept := filepath.Join(os.TempDir(), fmt.Sprintf("soak-%d", seed))
+	if err := os.CopyFS(kept, os.DirFS(d.dir)); err != nil {
+		return fmt.Sprintf("%s (%v)", kept, err)
+	}
+	return kept
+}
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -4,13 +4,24 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 )
 
 // relayBuffer is the size of the copy buffer of one direction, in bytes.
 const relayBuffer = 32 << 10
 
-// Relay passes TCP connections on to an address. Connections can go silent, which keeps both sockets open and drops
-// nothing but passes nothing on, or be cut.
+// Direction is one of the two ways of a relayed connection.
+type Direction int
+
+// Directions of a connection.
+const (
+	ToTarget Direction = iota
+	ToCaller
+)
+
+// Relay passes TCP connections on to an address. Connections can be slow, go silent in one direction or both, which
+// keeps both sockets open and drops nothing but passes nothing on, or be cut.
 type Relay struct {
 	// Address is host:port of the relay.
 	Address  string
@@ -19,8 +30,10 @@
 	mutex    sync.Mutex
 	lines    map[*Line]struct{}
 	refusing bool
-	silent   bool
-	running  sync.WaitGroup
+	silent   [2]bool
+	// delay is how long each part of a stream is held up, in nanoseconds.
+	delay   atomic.Int64
+	running sync.WaitGroup
 }
 
 // Line is one relayed connection.
@@ -28,7 +41,8 @@
 	caller, target net.Conn
 	mutex          sync.Mutex
 	resumed        *sync.Cond
-	silent, cut    bool
+	silent         [2]bool
+	cut            bool
 }
 
 // NewRelay listens on a free loopback port and relays to target, host:port.
@@ -56,14 +70,23 @@
 
 // SetSilent makes all open connections and all new ones silent, as a partition does, or lets them go on.
 func (r *Relay) SetSilent(silent bool) {
+	r.SetOneWay(ToTarget, silent)
+	r.SetOneWay(ToCaller, silent)
+}
+
+// SetOneWay makes one direction of all open connections and all new ones silent, or lets it go on.
+func (r *Relay) SetOneWay(direction Direction, silent bool) {
 	r.mutex.Lock()
-	r.silent = silent
+	r.silent[direction] = silent
 	r.mutex.Unlock()
 	for _, line := range r.Lines() {
-		line.SetSilent(silent)
+		line.setOneWay(direction, silent)
 	}
 }
 
+// SetDelay holds up each part of every stream.
+func (r *Relay) SetDelay(delay time.Duration) { r.delay.Store(int64(delay)) }
+
 // SetRefusing closes new connections at once. Open ones go on.
 func (r *Relay) SetRefusing(refusing bool) {
 	r.mutex.Lock()
@@ -88,9 +111,14 @@
 
 // SetSilent makes the connection silent or lets it go on.
 func (l *Line) SetSilent(silent bool) {
+	l.setOneWay(ToTarget, silent)
+	l.setOneWay(ToCaller, silent)
+}
+
+func (l *Line) setOneWay(direction Direction, silent bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.silent = silent
+	l.silent[direction] = silent
 	l.resumed.Broadcast()
 }
 
@@ -132,17 +160,18 @@
 	line.silent = r.silent
 	r.lines[line] = struct{}{}
 	r.running.Add(2)
-	go r.pass(line, target, caller)
-	go r.pass(line, caller, target)
+	go r.pass(line, ToTarget, target, caller)
+	go r.pass(line, ToCaller, caller, target)
 }
 
 // pass copies one direction until either side closes.
-func (r *Relay) pass(line *Line, to io.Writer, from io.Reader) {
+func (r *Relay) pass(line *Line, direction Direction, to io.Writer, from io.Reader) {
 	defer r.running.Done()
 	buffer := make([]byte, relayBuffer)
 	for {
 		n, err := from.Read(buffer)
-		if !line.waitWhileSilent() {
+		time.Sleep(time.Duration(r.delay.Load()))
+		if !line.waitWhileSilent(direction) {
 			break
 		}
 		if n > 0 {
@@ -161,10 +190,10 @@
 }
 
 // waitWhileSilent returns false if the connection was cut.
-func (l *Line) waitWhileSilent() bool {
+func (l *Line) waitWhileSilent(direction Direction) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	for l.silent && !l.cut {
+	for l.silent[direction] && !l.cut {
 		l.resumed.Wait()
 	}
 	return !l.cut
--- a/internal/standin/store_test.go
+++ b/internal/standin/store_test.go
@@ -94,3 +94,19 @@
 	now = now.Add(time.Second)
 	require.JSONEq(t, `{"items":[{"key":"a","value":"Mg==","offset":2}],"has-more":false,"end":4}`, listed())
 }
+
+// Guards against a member that has ended and holds the group's partitions for ever, so that no other one ever leads.
+func TestSilentMemberLapses(t *testing.T) {
+	now := time.UnixMilli(0)
+	store := standin.NewStore(standin.StoreOptions{Now: func() time.Time { return now }})
+	join := func(member string) string {
+		body := []byte(`{"group":"g","member":"` + member + `","topics":["t"],"ttl_time":"1200ms","generation":0}`)
+		return call(store, "POST", "/log-join", body).Body.String()
+	}
+	require.JSONEq(t, `{"generation":1,"parts":[["t",0,0]]}`, join("a"))
+	require.JSONEq(t, `{"generation":2,"parts":[]}`, join("b"))
+	now = now.Add(time.Second)
+	require.JSONEq(t, `{"generation":2,"parts":[]}`, join("b"))
+	now = now.Add(time.Second)
+	require.JSONEq(t, `{"generation":3,"parts":[["t",0,0]]}`, join("b"))
+}
--- a/internal/standin/topic.go
+++ b/internal/standin/topic.go
@@ -229,7 +229,34 @@
 // group is a group of members; the one that has been in it longest holds all partitions.
 type group struct {
 	generation uint64
-	members    []string
+	members    []groupMember
+}
+
+type groupMember struct {
+	name string
+	// until is when the member lapses unless it joins again.
+	until time.Time
+}
+
+// lapse drops members that have not joined in time.
+func (g *group) lapse(now time.Time) {
+	before := len(g.members)
+	g.members = slices.DeleteFunc(g.members, func(m groupMember) bool { return !now.Before(m.until) })
+	if len(g.members) < before {
+		g.generation++
+	}
+}
+
+// keep adds a member or keeps it in the group.
+func (g *group) keep(name string, until time.Time) {
+	for i := range g.members {
+		if g.members[i].name == name {
+			g.members[i].until = until
+			return
+		}
+	}
+	g.members = append(g.members, groupMember{name: name, until: until})
+	g.generation++
 }
 
 // join answers POST /log-join.
@@ -238,8 +265,11 @@
 		Group  string   `json:"group"`
 		Member string   `json:"member"`
 		Topics []string `json:"topics"`
+		TTL    string   `json:"ttl_time"`
 	}
-	if json.NewDecoder(r.Body).Decode(&body) != nil || len(body.Topics) == 0 {
+	err := json.NewDecoder(r.Body).Decode(&body)
+	ttl, ttlErr := time.ParseDuration(body.TTL)
+	if err != nil || ttlErr != nil || len(body.Topics) == 0 {
 		http.Error(w, "malformed join", http.StatusBadRequest)
 		return
 	}
@@ -249,12 +279,9 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	g := s.group(body.Group)
-	if !slices.Contains(g.members, body.Member) {
-		g.members = append(g.members, body.Member)
-		g.generation++
-	}
+	g.keep(body.Member, s.options.Now().Add(ttl))
 	parts := [][]any{}
-	if g.members[0] == body.Member {
+	if g.members[0].name == body.Member {
 		parts = append(parts, []any{body.Topics[0], 0, 0})
 	}
 	writeJSON(w, http.StatusOK, map[string]any{"generation": g.generation, "parts": parts})
@@ -276,7 +303,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	g := s.group(body.Group)
-	g.members = slices.DeleteFunc(g.members, func(member string) bool { return member == body.Member })
+	g.members = slices.DeleteFunc(g.members, func(m groupMember) bool { return m.name == body.Member })
 	g.generation++
 	writeJSON(w, http.StatusOK, struct{}{})
 }
@@ -288,5 +315,6 @@
 		g = &group{}
 		s.groups[name] = g
 	}
+	g.lapse(s.options.Now())
 	return g
 }
--- a/internal/testbed/ports.go
+++ b/internal/testbed/ports.go
@@ -26,6 +26,9 @@
 
 var addresses = &ports{next: firstPort + rand.IntN(lastPort-firstPort), used: map[string]bool{}}
 
+// FreeAddress returns a loopback address that nothing listens on and that is handed out only once.
+func FreeAddress() (string, error) { return addresses.free() }
+
 // free returns a free address.
 func (p *ports) free() (string, error) {
 	p.mutex.Lock()
--- a/internal/testbed/process.go
+++ b/internal/testbed/process.go
@@ -61,6 +61,11 @@
 	return p, nil
 }
 
+// StartProgram starts a program with its output appended to the file NAME.out in dir.
+func StartProgram(dir, name, path string, args ...string) (*Process, error) {
+	return startProcess(dir, command{name: name, path: path, args: args})
+}
+
 func environment() []string {
 	var kept []string
 	for _, variable := range os.Environ() {
@@ -96,6 +101,9 @@
 // Resume continues a paused process.
 func (p *Process) Resume() { p.signal(syscall.SIGCONT) }
 
+// Reload tells the process that its settings have changed.
+func (p *Process) Reload() { p.signal(syscall.SIGHUP) }
+
 // Stop asks the process to stop and waits until it has, or returns an error after limit.
 func (p *Process) Stop(limit time.Duration) error {
 	p.signal(syscall.SIGTERM)
