--- a/internal/soak/server_test.go
+++ b/internal/soak/server_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
 	"github.com/tarragonpoint/tarragonpoint/internal/standin"
+	"github.com/tarragonpoint/tarragonpoint/internal/testbed"
 )
 
 const (
@@ -59,12 +60,11 @@
 }
 
 func newServer(l *ledger, store *standin.Store, id, service, zone string) (*server, error) {
-	free, err := net.Listen("tcp4", "127.0.0.1:0")
+	address, err := testbed.FreeAddress()
 	if err != nil {
 		return nil, err
 	}
-	s := &server{ledger: l, store: store, id: id, service: service, zone: zone, listen: free.Addr().String()}
-	_ = free.Close()
+	s := &server{ledger: l, store: store, id: id, service: service, zone: zone, listen: address}
 	if s.relay, err = standin.NewRelay(s.listen); err != nil {
 		return nil, err
 	}
