--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -240,9 +239,9 @@
 	callCtx, cancel := context.WithTimeout(ctx, c.settings.OrderTimeout)
 	defer cancel()
 	outcome, connection := keyspace.NotSent, uint64(0)
-	if c.turns.enter(callCtx, command.Target.Address) {
+	if leave := c.turns.enter(callCtx, command.Target.Address); leave != nil {
 		result, answered, err := c.targets.Grant(callCtx, keyRange(command), c.settings.Hold, command.Handover)
-		c.turns.leave(command.Target.Address)
+		leave()
 		outcome, connection = c.orderEnded(command, result, err), answered
 	}
 	c.post(func(now model.Instant) { c.manager.GrantEnded(now, command, outcome, connection) })
@@ -385,34 +384,3 @@
 		c.gw.log.Part(logging.Platform).Event("group is not left; the membership lapses", logging.SystemError(err))
 	}
 }
-
-// turns lets one grant at a time go to each address.
-type turns struct {
-	mu   sync.Mutex
-	busy map[string]chan struct{}
-}
-
-func newTurns() *turns { return &turns{busy: map[string]chan struct{}{}} }
-
-func (t *turns) of(address string) chan struct{} {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	turn := t.busy[address]
-	if turn == nil {
-		turn = make(chan struct{}, 1)
-		t.busy[address] = turn
-	}
-	return turn
-}
-
-// enter waits for the turn. It returns false if ctx ends first.
-func (t *turns) enter(ctx context.Context, address string) bool {
-	select {
-	case t.of(address) <- struct{}{}:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-func (t *turns) leave(address string) { <-t.of(address) }
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -212,7 +212,7 @@
 	return listener, nil
 }
 
-// budgetMap holds the retry budget of each service.
+// budget returns the retry budget of a service.
 func (g *gateway) budget(service model.Service) budget {
 	g.budgetsMu.Lock()
 	defer g.budgetsMu.Unlock()
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -83,11 +83,21 @@
 		return false
 	}
 	if take {
+		g.forget(now)
 		g.next[life] = now.Add(time.Duration(float64(time.Second) * coldSpacing / each))
 	}
 	return true
 }
 
+// forget drops targets whose next request is allowed anyway. The mutex is held.
+func (g *coldGate) forget(now model.Instant) {
+	for life, next := range g.next {
+		if now >= next {
+			delete(g.next, life)
+		}
+	}
+}
+
 const (
 	// returnedShare is the part of a route's usual deadline below which a request counts as one that was refused before.
 	returnedShare = 0.97
@@ -110,9 +120,11 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if deadline >= d.longest[route] && len(d.longest) < maxDeadlines {
-		d.longest[route] = deadline
+	if _, known := d.longest[route]; !known && len(d.longest) >= maxDeadlines {
+		// Routes come and go with configurations; those in use are learned again.
+		clear(d.longest)
 	}
+	d.longest[route] = max(d.longest[route], deadline)
 	if float64(deadline) >= float64(d.longest[route])*returnedShare {
 		return 0
 	}
--- /dev/null
+++ b/internal/gateway/topics.go
@@ -0,0 +1,274 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/keyspace"
+	"github.com/tarragonpoint/tarragonpoint/internal/logging"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/registry"
+	"github.com/tarragonpoint/tarragonpoint/platform"
+)
+
+func (g *gateway) operatorFollower() *follower {
+	return &follower{
+		name: "operator", topic: platform.TopicOperator, gw: g,
+		wait: func() time.Duration { return operatorWait }, leaderWait: leaderWait, relist: topicRelist,
+		list: g.listOperator,
+		change: func(now model.Instant, record platform.Record) *passedRecord {
+			g.applyOperator(now, record)
+			return whole(record)
+		},
+	}
+}
+
+func (g *gateway) applyOperator(now model.Instant, record platform.Record) platform.OperatorRecord {
+	log := g.log.Part(logging.Config)
+	decoded, err := platform.DecodeOperator(record)
+	if err != nil {
+		log.Event("record is refused", logging.Name(record.Key), logging.Offset(model.Offset(record.Offset)),
+			logging.ErrorType(err), logging.SystemError(err))
+		return platform.OperatorRecord{}
+	}
+	if config := decoded.Config; config != nil {
+		current := g.state.config.Load()
+		if current != nil && config.Version <= current.Version {
+			return decoded
+		}
+		g.state.setConfig(config)
+		log.Event("configuration is in force", logging.Version(config.Version),
+			logging.Offset(model.Offset(record.Offset)), logging.Count(config.Routes()))
+		g.control.viewChanged()
+	}
+	if zone := decoded.Evacuate; zone != "" {
+		changed := false
+		g.state.withRegistry(func(r *registry.Registry) { changed = r.Evacuate(now, zone, decoded.Evacuated) })
+		if changed {
+			log.Event("zone changes", logging.Zone(zone), logging.State(evacuationState(decoded.Evacuated)))
+			g.control.viewChanged()
+		}
+	}
+	return decoded
+}
+
+func evacuationState(evacuated bool) string {
+	if evacuated {
+		return "out of service"
+	}
+	return "in service"
+}
+
+func (g *gateway) targetFollower() *follower {
+	f := &follower{
+		name: "targets", topic: platform.TopicTargets, gw: g, pace: targetsEvery, relist: topicRelist, probes: true,
+		wait: func() time.Duration { return 0 },
+		list: g.listTargets,
+		change: func(now model.Instant, record platform.Record) *passedRecord {
+			if !g.changeTarget(now, record) && !g.watched.has(now, model.TargetID(record.Key)) {
+				return nil
+			}
+			return whole(record)
+		},
+	}
+	return f
+}
+
+// expireTargets tells the registry whether the store answers, and drops entries that lapsed while it was away and have
+// not returned since.
+func (g *gateway) expireTargets(now model.Instant, answered bool) {
+	g.state.withRegistry(func(r *registry.Registry) {
+		r.StoreAnswered(now, answered)
+		for _, id := range r.Expire(now) {
+			g.log.Part(logging.Registry).Event("target is gone", logging.TargetID(id), logging.Reason("entry lapsed"))
+			g.control.viewChanged()
+		}
+	})
+}
+
+// listOperator applies all records of the operators. Zones that are not listed are in service.
+func (g *gateway) listOperator(now model.Instant, page platform.Page) []passedRecord {
+	listed := map[model.Zone]bool{}
+	var passed []passedRecord
+	for _, record := range page.Records {
+		if decoded := g.applyOperator(now, record); decoded.Evacuated {
+			listed[decoded.Evacuate] = true
+		}
+		passed = append(passed, *whole(record))
+	}
+	var zones []model.Zone
+	g.state.withRegistry(func(r *registry.Registry) { zones = r.EvacuatedZones() })
+	for _, zone := range zones {
+		if !listed[zone] {
+			returned := platform.ReturnRecord(zone, page.Next)
+			g.applyOperator(now, returned)
+			passed = append(passed, *whole(returned))
+		}
+	}
+	return passed
+}
+
+// listTargets applies all registrations. Targets that are not listed are gone.
+func (g *gateway) listTargets(now model.Instant, page platform.Page) []passedRecord {
+	listed := map[model.TargetID]bool{}
+	var passed []passedRecord
+	for _, record := range page.Records {
+		if g.changeTarget(now, record) {
+			passed = append(passed, *whole(record))
+		}
+		listed[model.TargetID(record.Key)] = true
+	}
+	var known []model.TargetID
+	g.state.withRegistry(func(r *registry.Registry) { known = r.IDs() })
+	for _, id := range known {
+		if !listed[id] {
+			g.removeTarget(now, id, "entry not listed")
+			passed = append(passed, *whole(platform.Record{Key: string(id), Offset: page.Next}))
+		}
+	}
+	g.state.mu.Lock()
+	g.state.registryRead = true
+	g.state.mu.Unlock()
+	g.control.viewChanged()
+	return passed
+}
+
+// listTables applies the newest assignment.
+func (g *gateway) listTables(_ model.Instant, page platform.Page) []passedRecord {
+	if len(page.Records) == 0 && g.state.table.Load() == nil {
+		g.state.setTable(&keyspace.Table{})
+	}
+	var passed []passedRecord
+	for _, record := range page.Records {
+		g.applyTable(record)
+		passed = append(passed, *whole(record))
+	}
+	return passed
+}
+
+// changeTarget applies a record and reports whether it changed what is known of the target.
+func (g *gateway) changeTarget(now model.Instant, record platform.Record) bool {
+	log := g.log.Part(logging.Registry)
+	id := model.TargetID(record.Key)
+	if len(record.Value) == 0 {
+		g.removeTarget(now, id, "entry removed")
+		return true
+	}
+	registration, err := platform.DecodeTarget(record)
+	if err != nil {
+		log.Event("record is refused", logging.TargetID(id), logging.Offset(model.Offset(record.Offset)), logging.SystemError(err))
+		g.removeTarget(now, id, "entry cannot be read")
+		return true
+	}
+	target := registration.Target
+	changed := false
+	g.state.withRegistry(func(r *registry.Registry) { changed = r.Report(now, target, registration.ColdLeft) })
+	if changed {
+		log.Event("target changes", logging.TargetID(id), logging.Service(target.Service), logging.Zone(target.Zone),
+			logging.Address(target.Address), logging.State(targetState(registration)))
+		g.control.viewChanged()
+	}
+	return changed
+}
+
+func (g *gateway) removeTarget(now model.Instant, id model.TargetID, reason string) {
+	removed := false
+	g.state.withRegistry(func(r *registry.Registry) { removed = r.Remove(now, id) })
+	if removed {
+		g.log.Part(logging.Registry).Event("target is gone", logging.TargetID(id), logging.Reason(reason))
+		g.control.viewChanged()
+	}
+}
+
+func targetState(registration platform.Registration) string {
+	switch {
+	case registration.Target.Draining:
+		return "draining"
+	case registration.ColdLeft > 0:
+		return "cold"
+	}
+	return "ready"
+}
+
+func (g *gateway) tableFollower() *follower {
+	return &follower{
+		name: "assignment", topic: topicAssignment, gw: g, pace: assignmentPace, relist: assignmentRelist,
+		wait:       func() time.Duration { return assignmentWait },
+		list:       g.listTables,
+		change:     g.changeTable,
+		applyDelta: g.applyTableDelta,
+		read:       func(started model.Instant, end uint64) { g.control.tableConfirmed(started, end) },
+	}
+}
+
+// changeTable applies a record of the assignment and returns the delta by which other VMs follow.
+func (g *gateway) changeTable(_ model.Instant, record platform.Record) *passedRecord {
+	table := g.decodeTable(record)
+	if table == nil {
+		return whole(record)
+	}
+	base := g.passedTable
+	g.passedTable = table
+	g.setTable(table)
+	if base == nil {
+		return whole(record)
+	}
+	raw, err := keyspace.EncodeDelta(base, table)
+	if err != nil {
+		g.log.Part(logging.Keyspace).Event("delta is not encoded", logging.SystemError(err))
+		return whole(record)
+	}
+	return &passedRecord{Record: platform.Record{Key: record.Key, Value: raw, Offset: record.Offset}, delta: true}
+}
+
+// applyTableDelta applies a delta that the leader passed on.
+func (g *gateway) applyTableDelta(_ model.Instant, record platform.Record) bool {
+	base := g.state.table.Load()
+	if base != nil && base.Offset >= record.Offset {
+		return true
+	}
+	table, err := keyspace.ApplyDelta(base, record.Value, record.Offset)
+	if err != nil {
+		return false
+	}
+	g.setTable(table)
+	return true
+}
+
+// applyTable applies a record of the assignment.
+func (g *gateway) applyTable(record platform.Record) {
+	if table := g.decodeTable(record); table != nil {
+		g.passedTable = table
+		g.setTable(table)
+	}
+}
+
+// decodeTable returns nil for a record that holds no table.
+func (g *gateway) decodeTable(record platform.Record) *keyspace.Table {
+	if record.Key != keyAssignment {
+		return nil
+	}
+	table, err := keyspace.DecodeTable(record.Value, record.Offset)
+	if err != nil {
+		g.log.Part(logging.Keyspace).Event("record is refused", logging.Offset(model.Offset(record.Offset)), logging.SystemError(err))
+		return nil
+	}
+	return table
+}
+
+// setTable puts a table in force if it is newer than the present one.
+func (g *gateway) setTable(table *keyspace.Table) {
+	if current := g.state.table.Load(); current != nil && current.Leader != "" && table.Offset <= current.Offset {
+		return
+	}
+	former := g.leaderAddress()
+	g.state.setTable(table)
+	if g.leaderAddress() != former {
+		select {
+		case g.newLeader <- struct{}{}:
+		default:
+		}
+	}
+	g.log.Part(logging.Keyspace).Info("assignment is in force", logging.Table(table.Offset), logging.Name(table.Leader),
+		logging.Count(len(table.Ranges)))
+	g.control.tableRead(g.clock.Now(), table)
+}
