Do not list a topic because its last read had waited long

Cause: read of the code: the age from which a topic is listed counted from the start of the last read, and a read of the assignment waits up to 4 s, so a change after a quiet second was listed as well as read. The test fails without the change of readOn. One function finds the follower of a topic.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -227,11 +227,7 @@
 	copied := table.Clone()
 	c.post(func(now model.Instant) { c.manager.Appended(now, copied) })
 	c.gw.setTable(table)
-	for _, f := range c.gw.followers {
-		if f.topic == topicAssignment {
-			f.appended(c.gw.clock.Now(), record)
-		}
-	}
+	c.gw.follower(topicAssignment).appended(c.gw.clock.Now(), record)
 }
 
 // grant sends a grant. The grants of one target go over one connection, one after the other.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -60,8 +60,6 @@
 	relist time.Duration
 	// leaderWait is how long a read of the leader waits for a record; 0 makes it read at leaderPace.
 	leaderWait time.Duration
-	// probes is true for the follower whose reads are repeated soon while the store is away.
-	probes bool
 	// list applies the newest record of each key and returns what others need to know of them; change does the same for
 	// one new record, and returns nil if they need nothing.
 	list   func(now model.Instant, page platform.Page) []passedRecord
@@ -76,7 +74,7 @@
 	mu     sync.Mutex
 	next   uint64
 	listed bool
-	// known is when the topic was last known to end at next.
+	// known is when an answer or the leader last said that the topic ends at next.
 	known model.Instant
 	// freshUntil is how long what the leader passed on is taken as up to date. It is read without the lock, because the
 	// control loop asks for it while a follower may wait for that loop.
@@ -127,25 +125,28 @@
 	return wait/2 + time.Duration(rand.Int64N(int64(wait)))
 }
 
-// retryWait returns the wait after a number of failed reads in a row. While the store is away one follower tries again
-// soon, and wakes the others when it succeeds.
+// retryWait returns the wait after a number of failed reads in a row. While the store is away the follower of the targets
+// tries again soon, as its reads do not wait for a record, and wakes the others when it succeeds.
 func (f *follower) retryWait(failures int) time.Duration {
-	if f.probes || !f.gw.outage.isLost() || !f.gw.probing() {
+	if f.topic == platform.TopicTargets || !f.gw.outage.isLost() || !f.gw.probing() {
 		return backoff(failures)
 	}
 	return outageWait
 }
 
-// probing reports whether the follower that probes the store reads it.
-func (g *gateway) probing() bool {
+// follower returns the follower of a topic, or nil for a topic that no VM follows.
+func (g *gateway) follower(topic string) *follower {
 	for _, f := range g.followers {
-		if f.probes {
-			return f.rest() <= 0
+		if f.topic == topic {
+			return f
 		}
 	}
-	return false
+	return nil
 }
 
+// probing reports whether the follower of the targets reads the store, rather than what the leader passes on.
+func (g *gateway) probing() bool { return g.follower(platform.TopicTargets).rest() <= 0 }
+
 // rest returns how long this VM need not read the topic.
 func (f *follower) rest() time.Duration {
 	if f.gw.control.leading.Load() {
@@ -210,7 +211,7 @@
 	defer f.mu.Unlock()
 	passed := f.list(f.gw.clock.Now(), page)
 	former := f.next
-	f.next, f.listed, f.known = page.Next, true, started
+	f.next, f.listed, f.known = page.Next, true, f.gw.clock.Now()
 	if former > 0 && f.gw.control.leading.Load() {
 		// History that the store has dropped need not be read by all VMs at once.
 		f.gw.passOn(f.topic, former, page.Next, f.gw.clock.Now().Sub(started), passed)
@@ -239,7 +240,7 @@
 	}
 	f.next = page.Next
 	if page.Next >= page.End {
-		f.known = started
+		f.known = now
 	}
 	if f.gw.control.leading.Load() {
 		f.gw.passOn(f.topic, next, page.Next, f.gw.clock.Now().Sub(started), effective)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -416,22 +416,33 @@
 	require.Equal(t, before+1, lists())
 	require.NoError(t, targets.update(context.Background(), now))
 	require.Equal(t, before+1, lists(), "what is known is fresh")
-	require.NoError(t, targets.update(context.Background(), now.Add(topicRelist)))
+	require.NoError(t, targets.update(context.Background(), g.clock.Now().Add(topicRelist)))
 	require.Equal(t, before+2, lists())
 }
 
+// Guards against a VM that lists the assignment after each change, because its read had waited for the change for longer
+// than the age from which the topic is listed.
+func TestChangeAfterLongWaitIsNoReasonToList(t *testing.T) {
+	f := startFixture(t)
+	g, err := newGateway(f.gateway.settings, logging.Discard())
+	require.NoError(t, err)
+	assignment := g.follower(topicAssignment)
+	require.NoError(t, assignment.update(context.Background(), g.clock.Now()))
+	lists := func() int { return f.store.TopicCalls("/log-newest", topicAssignment) }
+	before := lists()
+	f.store.Put(topicAssignment, "other", []byte("x"))
+	require.NoError(t, assignment.readOn(context.Background(), g.clock.Now().Add(-2*assignmentRelist), assignment.next))
+	require.NoError(t, assignment.update(context.Background(), g.clock.Now()))
+	require.Equal(t, before, lists())
+}
+
 // Guards against a leader that reads each assignment back before the other VMs get it, and against one that passes over
 // records that it has not read.
 func TestWrittenAssignmentIsNotReadBack(t *testing.T) {
 	f := startFixture(t)
 	g, err := newGateway(f.gateway.settings, logging.Discard())
 	require.NoError(t, err)
-	var follower *follower
-	for _, candidate := range g.followers {
-		if candidate.topic == topicAssignment {
-			follower = candidate
-		}
-	}
+	follower := g.follower(topicAssignment)
 	raw, err := (&keyspace.Table{Leader: "vm-1/x"}).Encode()
 	require.NoError(t, err)
 	follower.listed, follower.next, follower.known = true, 5, g.clock.Now()
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -51,14 +51,7 @@
 }
 
 // hearsLeader reports whether the leader passes the assignment on to this VM.
-func (g *gateway) hearsLeader() bool {
-	for _, f := range g.followers {
-		if f.topic == topicAssignment {
-			return f.fresh()
-		}
-	}
-	return false
-}
+func (g *gateway) hearsLeader() bool { return g.follower(topicAssignment).fresh() }
 
 // reportToSelf reports the load of a VM that leads.
 func (g *gateway) reportToSelf() {
@@ -121,10 +114,8 @@
 }
 
 func (g *gateway) applyBatch(batch *hub.Batch) {
-	for _, f := range g.followers {
-		if f.topic == batch.Topic {
-			f.applyBatch(batch)
-		}
+	if f := g.follower(batch.Topic); f != nil {
+		f.applyBatch(batch)
 	}
 }
 
--- a/internal/gateway/topics.go
+++ b/internal/gateway/topics.go
@@ -60,7 +60,7 @@
 
 func (g *gateway) targetFollower() *follower {
 	f := &follower{
-		name: "targets", topic: platform.TopicTargets, gw: g, pace: targetsEvery, relist: topicRelist, probes: true,
+		name: "targets", topic: platform.TopicTargets, gw: g, pace: targetsEvery, relist: topicRelist,
 		wait: func() time.Duration { return 0 },
 		list: g.listTargets,
 		change: func(now model.Instant, record platform.Record) *passedRecord {
