Keep a reload in the first moments of a process from ending it

Its log ends with the kill of the life before; the next life wrote nothing. SIGHUP ends a process until it is caught, which the role did only after it had listened. Ruled out: an address in use and a panic, which write a line. Change: main ignores SIGHUP from its first statement on, until a role asks for it.

--- a/cmd/tarragonpoint/main.go
+++ b/cmd/tarragonpoint/main.go
@@ -15,6 +15,9 @@
 var version = "development"
 
 func main() {
+	// A reload that is asked for before a role listens for it must not end the process. Roles that reload are notified of
+	// later ones.
+	signal.Ignore(syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	os.Exit(cli.New(version, entry.Run).Run(ctx, os.Args[1:]))
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -10,8 +10,6 @@
 	"testing"
 	"time"
 
-	"github.com/stretchr/testify/require"
-
 	"github.com/tarragonpoint/tarragonpoint/internal/testbed"
 )
 
@@ -28,7 +26,8 @@
 	length    = flag.Duration("soak.length", 15*time.Second, "time for which faults come in a run by hand")
 )
 
-// ciSeeds are played in CI. A seed that ever failed stays here with its cause.
+// ciSeeds are played in CI. A seed that ever failed stays here with its cause. Seed 1: a reload in the first moments of a
+// process ended it.
 var ciSeeds = []uint64{1, 2}
 
 var program string
@@ -92,7 +91,9 @@
 	cancel()
 	running.Wait()
 	for _, v := range d.vms {
-		require.True(t, v.running().IsRunning(), "%s has ended by itself: %s", v.name, v.running().Output())
+		if !v.running().IsRunning() {
+			d.ledger.violate("END: %s has ended by itself", v.name)
+		}
 	}
 	violations := d.ledger.check()
 	if len(violations) == 0 {
