--- a/internal/testbed/process.go
+++ b/internal/testbed/process.go
@@ -129,6 +129,14 @@
 	return p.cmd.ProcessState.ExitCode()
 }
 
+// End says how the process ended, or "running".
+func (p *Process) End() string {
+	if p.IsRunning() {
+		return "running"
+	}
+	return p.cmd.ProcessState.String()
+}
+
 // Output returns what the process has written so far.
 func (p *Process) Output() string {
 	data, err := os.ReadFile(p.output)
