Give the soak ports of its own

A VM of the soak had been killed, and a target of the other package listened on its address before it started again. Ruled out: the router; the answers came straight from the other process. Change: FreeAddress hands out ports that no other package uses.

--- a/internal/testbed/ports.go
+++ b/internal/testbed/ports.go
@@ -13,30 +13,43 @@
 	// not take a port between its choice and the start of the process that listens on it.
 	firstPort = 14000
 	lastPort  = 20000
-	loopback  = "127.0.0.1"
+	// firstSharedPort and lastSharedPort are those of FreeAddress. Tests of other packages run at the same time as those of
+	// this one, and the address of a process that has been killed is free until it starts again.
+	firstSharedPort = 20000
+	lastSharedPort  = 26000
+	loopback        = "127.0.0.1"
 )
 
 // ports hands out loopback addresses that nothing listens on, each only once. All clusters of a process share one, because
 // an address is free until the process that it was handed out for listens on it.
 type ports struct {
-	mutex sync.Mutex
-	next  int
-	used  map[string]bool
+	mutex       sync.Mutex
+	first, last int
+	next        int
+	used        map[string]bool
 }
 
-var addresses = &ports{next: firstPort + rand.IntN(lastPort-firstPort), used: map[string]bool{}}
+func newPorts(first, last int) *ports {
+	return &ports{first: first, last: last, next: first + rand.IntN(last-first), used: map[string]bool{}}
+}
+
+var (
+	addresses       = newPorts(firstPort, lastPort)
+	sharedAddresses = newPorts(firstSharedPort, lastSharedPort)
+)
 
-// FreeAddress returns a loopback address that nothing listens on and that is handed out only once.
-func FreeAddress() (string, error) { return addresses.free() }
+// FreeAddress returns a loopback address that nothing listens on and that is handed out only once. It serves the tests of
+// other packages.
+func FreeAddress() (string, error) { return sharedAddresses.free() }
 
 // free returns a free address.
 func (p *ports) free() (string, error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	for range lastPort - firstPort {
+	for range p.last - p.first {
 		address := net.JoinHostPort(loopback, strconv.Itoa(p.next))
-		if p.next++; p.next >= lastPort {
-			p.next = firstPort
+		if p.next++; p.next >= p.last {
+			p.next = p.first
 		}
 		if p.reserve(address) {
 			return address, nil
