Give each test package that restarts or binds late a range of ports

Ruled out: the gateway; it reported the address. Change: testbed.NewAddresses hands out ports below those of outgoing connections, one range for each package.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -19,6 +18,7 @@
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
 	"github.com/tarragonpoint/tarragonpoint/internal/registry"
 	"github.com/tarragonpoint/tarragonpoint/internal/standin/platformstub"
+	"github.com/tarragonpoint/tarragonpoint/internal/testbed"
 	"github.com/tarragonpoint/tarragonpoint/platform"
 )
 
@@ -35,6 +35,9 @@
 {"entry-kind":"limits","metadata":{},"spec":{"max-header-bytes":16384,"max-body-bytes":4096,"header-timeout":"3s","idle-timeout":"15s"}}]}`
 )
 
+// addresses are below the ports of outgoing connections, which would take one between its choice and its use.
+var addresses = testbed.NewAddresses(testbed.GatewayPorts)
+
 // fixture is one gateway in front of stand-ins of the platform.
 type fixture struct {
 	t       *testing.T
@@ -61,10 +64,9 @@
 // startVM starts a gateway. It registers targets again while it waits, as targets report all the time.
 func (f *fixture) startVM(name string) *gateway {
 	free := func() string {
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		address, err := addresses.Free()
 		require.NoError(f.t, err)
-		defer func() { _ = listener.Close() }()
-		return listener.Addr().String()
+		return address
 	}
 	g, err := newGateway(Settings{
 		VM: name, Zone: "a", Region: "north", Zones: "a=north,b=south", ListenCallers: free(), ListenReady: free(),
--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -105,15 +105,15 @@
 	require.NoError(d.t, err)
 	d.t.Cleanup(relay.Close)
 	v := &vm{name: fmt.Sprintf("vm-%d", i), zone: zones[i%len(zones)], relay: relay}
-	addresses := make([]string, 4)
-	for j := range addresses {
-		addresses[j], err = testbed.FreeAddress()
+	listen := make([]string, 4)
+	for j := range listen {
+		listen[j], err = addresses.Free()
 		require.NoError(d.t, err)
 	}
-	v.callers = addresses[0]
+	v.callers = listen[0]
 	v.args = []string{
 		"gateway", "-vm-id", v.name, "-zone", v.zone, "-region", "r-" + v.zone, "-zones", "a=r-a,b=r-b",
-		"-listen-callers", addresses[0], "-listen-ready", addresses[1], "-listen-peers", addresses[2], "-listen-metrics", addresses[3],
+		"-listen-callers", listen[0], "-listen-ready", listen[1], "-listen-peers", listen[2], "-listen-metrics", listen[3],
 		"-store-address", relay.Address, "-retry-burst", "1000", "-grace", grace.String(),
 	}
 	d.startVM(v)
--- a/internal/soak/reload_test.go
+++ b/internal/soak/reload_test.go
@@ -32,7 +32,7 @@
 	time.Sleep(50 * time.Millisecond)
 	text := "vm-id vm\nzone a\nregion r\nzones a=r\nstore-address 127.0.0.1:1\n"
 	for _, name := range []string{"callers", "ready", "peers"} {
-		address, err := testbed.FreeAddress()
+		address, err := addresses.Free()
 		require.NoError(t, err)
 		text += fmt.Sprintf("listen-%s %s\n", name, address)
 	}
--- a/internal/soak/server_test.go
+++ b/internal/soak/server_test.go
@@ -11,7 +11,6 @@
 
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
 	"github.com/tarragonpoint/tarragonpoint/internal/standin"
-	"github.com/tarragonpoint/tarragonpoint/internal/testbed"
 )
 
 const (
@@ -60,7 +59,7 @@
 }
 
 func newServer(l *ledger, store *standin.Store, id, service, zone string) (*server, error) {
-	address, err := testbed.FreeAddress()
+	address, err := addresses.Free()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -30,7 +30,10 @@
 // just been started.
 var ciSeeds = []uint64{1, 2}
 
-var program string
+var (
+	program   string
+	addresses = testbed.NewAddresses(testbed.SoakPorts)
+)
 
 func TestMain(m *testing.M) { os.Exit(runTests(m)) }
 
--- a/internal/testbed/ports.go
+++ b/internal/testbed/ports.go
@@ -13,11 +13,16 @@
 	// not take a port between its choice and the start of the process that listens on it.
 	firstPort = 14000
 	lastPort  = 20000
-	// firstSharedPort and lastSharedPort are those of FreeAddress. Tests of other packages run at the same time as those of
-	// this one, and the address of a process that has been killed is free until it starts again.
-	firstSharedPort = 20000
-	lastSharedPort  = 26000
-	loopback        = "127.0.0.1"
+	loopback  = "127.0.0.1"
+)
+
+// Ports of the tests of other packages, which run at the same time: each range has one user, as the address of a process
+// that has been killed is free until it starts again.
+const (
+	SoakPorts    = 20000
+	GatewayPorts = 26000
+	// portsEach is the number of ports in each range.
+	portsEach = 6000
 )
 
 // ports hands out loopback addresses that nothing listens on, each only once. All clusters of a process share one, because
@@ -33,14 +38,16 @@
 	return &ports{first: first, last: last, next: first + rand.IntN(last-first), used: map[string]bool{}}
 }
 
-var (
-	addresses       = newPorts(firstPort, lastPort)
-	sharedAddresses = newPorts(firstSharedPort, lastSharedPort)
-)
+var addresses = newPorts(firstPort, lastPort)
+
+// Addresses hands out loopback addresses that nothing listens on, each only once.
+type Addresses struct{ ports *ports }
+
+// NewAddresses returns addresses of the range that begins at a port. It is meant for one test process.
+func NewAddresses(first int) *Addresses { return &Addresses{ports: newPorts(first, first+portsEach)} }
 
-// FreeAddress returns a loopback address that nothing listens on and that is handed out only once. It serves the tests of
-// other packages.
-func FreeAddress() (string, error) { return sharedAddresses.free() }
+// Free returns a free address, IP:port.
+func (a *Addresses) Free() (string, error) { return a.ports.free() }
 
 // free returns a free address.
 func (p *ports) free() (string, error) {
