Log and count what happens to a request after its caller has left

Now a request whose caller left has the field caller_left (phase: waiting, connecting or sent) and, if an attempt was sent later, sent_after_left. The latter also counts attempts sent while the caller's connection was closed and the HTTP server had not noticed that; it peeks at the socket before each attempt. departed_callers and sent_after_departure count the same; wake_delay_seconds and the line 'process stalled' show missing processor time. No decision changes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -103,7 +103,9 @@
 	call := &platform.Call{
 		Method: j.request.Method, URI: j.uri, Host: j.request.Host, Header: j.request.Header, Body: j.body,
 		AttemptID: j.callerHeaders.AttemptID, TimeLeft: j.timeLeft(now), Target: chosen.target.ID,
+		BeforeSend: j.caller.sending,
 	}
+	j.caller.connecting()
 	service, key := j.service, j.callerHeaders.Key
 	ended := g.metrics.attempt()
 	go func() {
--- /dev/null
+++ b/internal/gateway/caller.go
@@ -0,0 +1,124 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+)
+
+// requestPhase is how far a request has got.
+type requestPhase uint8
+
+const (
+	// phaseWaiting means that no target has been chosen for the request, or its attempt was not sent.
+	phaseWaiting requestPhase = iota
+	// phaseConnecting means that an attempt waits for a connection to its target.
+	phaseConnecting
+	// phaseSent means that at least one attempt has been sent.
+	phaseSent
+)
+
+func (p requestPhase) String() string {
+	return [...]string{"waiting", "connecting", "sent"}[p]
+}
+
+// departure describes the disconnection of a request's caller.
+type departure struct {
+	// at is when this VM noticed it, and phase how far the request was then.
+	at    model.Instant
+	phase requestPhase
+	// sentAfter is the time from at to the last attempt that was sent later; 0 if there was none.
+	sentAfter time.Duration
+	// sentUnnoticed is the number of attempts sent after the connection was closed and before this was noticed.
+	sentUnnoticed int
+}
+
+// callerWatch records the phase of a request and the departure of its caller. It is safe for concurrent use.
+type callerWatch struct {
+	now func() model.Instant
+	// socket is the caller's connection; nil if it cannot be inspected.
+	socket syscall.RawConn
+
+	mu       sync.Mutex
+	phase    requestPhase
+	left     bool
+	departed departure
+}
+
+// callerSocketKey is the key of a caller's connection in the context of its requests.
+type callerSocketKey struct{}
+
+// withCallerSocket adds a caller's connection to the context of its requests.
+func withCallerSocket(ctx context.Context, socket net.Conn) context.Context {
+	if tcp, ok := socket.(syscall.Conn); ok {
+		if raw, err := tcp.SyscallConn(); err == nil {
+			return context.WithValue(ctx, callerSocketKey{}, raw)
+		}
+	}
+	return ctx
+}
+
+// watchCaller starts to watch the caller whose disconnection ends ctx. The returned function ends the watch.
+func watchCaller(ctx context.Context, now func() model.Instant) (*callerWatch, func()) {
+	w := &callerWatch{now: now, phase: phaseWaiting}
+	w.socket, _ = ctx.Value(callerSocketKey{}).(syscall.RawConn)
+	stop := context.AfterFunc(ctx, w.recordLeft)
+	return w, func() { stop() }
+}
+
+func (w *callerWatch) recordLeft() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.left, w.departed.phase, w.departed.at = true, w.phase, w.now()
+}
+
+// departure returns the caller's departure, and false if none was noticed.
+func (w *callerWatch) departure() (departure, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.departed, w.left
+}
+
+// connecting records that an attempt waits for a connection.
+func (w *callerWatch) connecting() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.phase = max(w.phase, phaseConnecting)
+}
+
+// sending records that an attempt is about to be sent.
+func (w *callerWatch) sending() {
+	closed := w.isClosed()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.phase = phaseSent
+	switch {
+	case w.left:
+		w.departed.sentAfter = w.now().Sub(w.departed.at)
+	case closed:
+		w.departed.sentUnnoticed++
+	}
+}
+
+// isClosed reports whether the caller has closed its connection. It does not wait for the HTTP server to notice that,
+// which can take long on a VM without free processor time.
+func (w *callerWatch) isClosed() bool {
+	if w.socket == nil {
+		return false
+	}
+	closed := false
+	// Control is used instead of Read because Read waits for the server's own read of the connection.
+	err := w.socket.Control(func(fd uintptr) {
+		var buffer [1]byte
+		n, _, err := unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		closed = n == 0 && err == nil || err != nil && !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR)
+	})
+	return err != nil || closed
+}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -19,6 +19,7 @@
 	deadline      model.Instant
 	callerHeaders platform.CallerHeaders
 	request       *http.Request
+	caller        *callerWatch
 	uri           string
 	path          string
 	body          []byte
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -31,7 +31,8 @@
 
 // ServeHTTP serves one request of a caller.
 func (g *gateway) ServeHTTP(w http.ResponseWriter, request *http.Request) {
-	j := &job{arrived: g.clock.Now(), request: request, uri: requestURI(request)}
+	caller, stopWatch := watchCaller(request.Context(), g.clock.Now)
+	j := &job{arrived: g.clock.Now(), request: request, caller: caller, uri: requestURI(request)}
 	j.path, _, _ = strings.Cut(j.uri, "?")
 	callerHeaders, err := platform.ParseCallerHeaders(request.Header)
 	j.callerHeaders = callerHeaders
@@ -42,6 +43,7 @@
 		j.deadline = j.arrived.Add(deadlineOf(callerHeaders))
 		response = g.serve(w, j)
 	}
+	stopWatch()
 	g.write(w, j, response)
 	g.finish(j, response)
 }
@@ -149,11 +151,17 @@
 		name = j.route.Name
 	}
 	g.metrics.requestDone(name, response.code, elapsed)
-	if response.code == result.OK && j.sends <= 1 {
-		return
+	departure, left := j.caller.departure()
+	if left {
+		g.metrics.departure(departure)
 	}
 	text := "not served"
-	if response.code == result.OK {
+	switch {
+	case left && response.code == result.OK:
+		text = "ended after its caller disconnected"
+	case response.code == result.OK && j.sends <= 1:
+		return
+	case response.code == result.OK:
 		text = "served after a repeated attempt"
 	}
 	g.log.Part(logging.Request).Request(text, g.requestFields(j, response, elapsed)...)
@@ -181,6 +189,12 @@
 	if response.targetResponse != nil {
 		fields = append(fields, logging.Status(response.targetResponse.Status))
 	}
+	if departure, left := j.caller.departure(); left {
+		fields = append(fields, logging.CallerLeft(departure.phase.String(), departure.at.Sub(j.arrived)))
+		if departure.sentAfter > 0 || departure.sentUnnoticed > 0 {
+			fields = append(fields, logging.SentAfterCallerLeft(departure.sentAfter, departure.sentUnnoticed))
+		}
+	}
 	if response.err != nil {
 		fields = append(fields, logging.ErrorType(response.err), logging.SystemError(response.err))
 	}
@@ -197,7 +211,7 @@
 func (g *gateway) newServer() *http.Server {
 	return &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: serverHeaderLimit,
-		ErrorLog: nil,
+		ConnContext: withCallerSocket, ErrorLog: nil,
 	}
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -35,6 +35,9 @@
 	counters   map[counterKey]tally.Counter
 	histograms map[string]tally.Histogram
 
+	// wakeDelay is how late the timer of the housekeeping fires.
+	wakeDelay tally.Histogram
+
 	attempts atomic.Int64
 }
 
@@ -48,6 +51,7 @@
 	return &metrics{
 		scope: scope, closer: closer, exporter: exporter,
 		counters: map[counterKey]tally.Counter{}, histograms: map[string]tally.Histogram{},
+		wakeDelay: scope.Histogram("wake_delay_seconds", latencyBuckets),
 	}
 }
 
@@ -107,6 +111,17 @@
 	m.count(counterKey{name: "orders", label: "kind", value: kind, label2: "outcome", value2: outcome})
 }
 
+// departure counts a request whose caller disconnected, and its attempts that were sent after that.
+func (m *metrics) departure(d departure) {
+	m.count(counterKey{name: "departed_callers", label: "phase", value: d.phase.String()})
+	if d.sentAfter > 0 {
+		m.count(counterKey{name: "sent_after_departure", label: "noticed", value: "true"})
+	}
+	if d.sentUnnoticed > 0 {
+		m.add(counterKey{name: "sent_after_departure", label: "noticed", value: "false"}, int64(d.sentUnnoticed))
+	}
+}
+
 func (m *metrics) retry(service string) {
 	m.count(counterKey{name: "retries", label: "service", value: service})
 }
--- a/internal/gateway/role.go
+++ b/internal/gateway/role.go
@@ -192,7 +192,21 @@
 			g.log.Part(logging.Entry).Event("readiness changes", logging.State(strconv.FormatBool(ready)))
 		}
 		g.reportGauges()
+		asleep := g.clock.Now()
 		sleep(ctx, housekeepingInterval)
+		g.reportStall(g.clock.Now().Sub(asleep) - housekeepingInterval)
+	}
+}
+
+// stallThreshold is the delay of a timer from which the process counts as stalled. An unloaded VM wakes within a few
+// milliseconds.
+const stallThreshold = 100 * time.Millisecond
+
+// reportStall records how late a timer fired, because the VM was suspended or had no free processor time.
+func (g *gateway) reportStall(delay time.Duration) {
+	g.metrics.wakeDelay.RecordDuration(max(0, delay))
+	if delay >= stallThreshold {
+		g.log.Part(logging.Entry).Event("process stalled", logging.Duration(delay))
 	}
 }
 
--- a/internal/logging/fields.go
+++ b/internal/logging/fields.go
@@ -130,6 +130,18 @@
 // RetryAfter is the delay after which a rejected caller was asked to retry, in milliseconds.
 func RetryAfter(time time.Duration) Field { return Field{"retry_after_ms", time.Milliseconds()} }
 
+// CallerLeft is the phase of a request when the VM noticed that its caller had disconnected, and the time from the
+// request's arrival to then, in milliseconds.
+func CallerLeft(phase string, after time.Duration) Field {
+	return Field{"caller_left", [2]any{phase, after.Milliseconds()}}
+}
+
+// SentAfterCallerLeft is the time in milliseconds from the noticed disconnection of the caller to the last attempt sent
+// after it, and the number of attempts sent after a disconnection that was not noticed yet.
+func SentAfterCallerLeft(after time.Duration, unnoticed int) Field {
+	return Field{"sent_after_left", [2]int64{after.Milliseconds(), int64(unnoticed)}}
+}
+
 // State is a constant text that names a state.
 func State(state string) Field { return Field{"state", state} }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -59,6 +59,8 @@
 	Body   []byte
 	// ConnectionID requires the connection that an earlier response identified; 0 allows any connection.
 	ConnectionID uint64
+	// BeforeSend is called once there is a connection, before the first byte of the request is sent; nil calls nothing.
+	BeforeSend func()
 	// ReplaceClosed opens a new connection as soon as the target closes the connection after its response.
 	ReplaceClosed bool
 	// Matches reports whether a response with this status and header belongs to the request; nil accepts all responses.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -71,6 +71,9 @@
 		}
 		c = opened
 	}
+	if request.BeforeSend != nil {
+		request.BeforeSend()
+	}
 	response, keep, err := c.exchange(ctx, request)
 	if err != nil {
 		return nil, err
