--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -10,6 +13,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/upstream"
+	"github.com/tarragonpoint/tarragonpoint/platform"
 )
 
 // callerConnection returns both ends of a connection of a caller.
@@ -84,3 +89,90 @@
 	recorded, _ := watch.departure()
 	assert.Equal(t, departure{at: model.Instant(time.Second), phase: phaseConnecting, sentAfter: time.Second}, recorded)
 }
+
+// sendAndLeave sends a request without a body and closes the connection without reading the response.
+func sendAndLeave(t *testing.T, address, method, path, id string) {
+	socket, err := net.Dial("tcp4", address)
+	require.NoError(t, err)
+	_, err = fmt.Fprintf(socket, "%s %s HTTP/1.1\r\nHost: a.example\r\nX-Tarragonpoint-Attempt-Id: %s\r\n"+
+		"X-Tarragonpoint-Deadline-Ms: 5000\r\nContent-Length: 0\r\n\r\n", method, path, id)
+	require.NoError(t, err)
+	require.NoError(t, socket.Close())
+}
+
+// serveCounted serves a listener with a gateway. It passes on the context of each request before it is handled, and a
+// value after it was.
+func serveCounted(t *testing.T, g *gateway, listener net.Listener) (started <-chan context.Context, handled <-chan struct{}) {
+	startedNow, handledNow := make(chan context.Context, 100), make(chan struct{}, 100)
+	server := g.newServer()
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		startedNow <- request.Context()
+		g.ServeHTTP(w, request)
+		handledNow <- struct{}{}
+	})
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return startedNow, handledNow
+}
+
+func receive[T any](t *testing.T, from <-chan T) T {
+	select {
+	case value := <-from:
+		return value
+	case <-time.After(settleTime):
+		require.Fail(t, "timeout")
+		panic("unreachable")
+	}
+}
+
+// Guards against a VM without free processor time that reads requests whose callers have given up, and sends them.
+func TestUnreadRequestIsNotSentAfterItsCallerLeft(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	var ids []string
+	for i := 0; i < 20; i++ {
+		method, path := http.MethodPost, "/notices/1"
+		if i%2 == 0 {
+			method, path = http.MethodGet, "/reads/1"
+		}
+		ids = append(ids, fmt.Sprint("left-", i))
+		sendAndLeave(t, listener.Addr().String(), method, path, ids[i])
+	}
+	_, handled := serveCounted(t, f.gateway, listener)
+	for range ids {
+		receive(t, handled)
+	}
+	for _, id := range ids {
+		assert.Zero(t, f.runs(id), id)
+	}
+}
+
+// Guards against a non-idempotent request that is sent after its caller left, because its attempt waited for a connection
+// to its target in the meantime.
+func TestAttemptWithoutConnectionEndsWithItsCaller(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t)
+	dialing, connect := make(chan struct{}), make(chan struct{})
+	g := f.newVM("vm-2")
+	g.targets = platform.NewTargetClient(upstream.NewPoolWithDialer(net.Dialer{
+		Timeout: settleTime,
+		Control: func(string, string, syscall.RawConn) error {
+			dialing <- struct{}{}
+			<-connect
+			return nil
+		},
+	}))
+	f.runVM(g)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	started, handled := serveCounted(t, g, listener)
+	sendAndLeave(t, listener.Addr().String(), http.MethodPost, "/notices/1", "left")
+	request := receive(t, started)
+	receive(t, dialing)
+	receive(t, request.Done())
+	close(connect)
+	receive(t, handled)
+	assert.Zero(t, f.runs("left"))
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -64,6 +64,12 @@
 
 // startVM starts a gateway and waits until it is ready.
 func (f *fixture) startVM(name string) *gateway {
+	g := f.newVM(name)
+	f.runVM(g)
+	return g
+}
+
+func (f *fixture) newVM(name string) *gateway {
 	free := func() string {
 		address, err := addresses.Free()
 		require.NoError(f.t, err)
@@ -75,6 +81,11 @@
 		RetryWindow: 10 * time.Second, RetryBurst: 1000, HoldMax: 10 * time.Second, Grace: 2 * time.Second, ColdFactor: 1.5, ColdBurst: 5,
 	}, logging.Discard())
 	require.NoError(f.t, err)
+	return g
+}
+
+// runVM runs a gateway until the end of the test and waits until it is ready.
+func (f *fixture) runVM(g *gateway) {
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- g.run(ctx) }()
@@ -83,7 +94,6 @@
 		assert.NoError(f.t, <-ended)
 	})
 	require.Eventually(f.t, g.ready, settleTime, 10*time.Millisecond)
-	return g
 }
 
 func (f *fixture) publish(version int, timeout string) {
--- a/internal/gateway/role.go
+++ b/internal/gateway/role.go
@@ -25,6 +25,7 @@
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
 	"github.com/tarragonpoint/tarragonpoint/internal/picker"
 	"github.com/tarragonpoint/tarragonpoint/internal/retry"
+	"github.com/tarragonpoint/tarragonpoint/internal/upstream"
 	"github.com/tarragonpoint/tarragonpoint/platform"
 )
 
@@ -118,7 +119,7 @@
 	}
 	g := &gateway{
 		settings: settings, clock: newClock(), log: log, metrics: newMetrics(),
-		store: platform.NewStore(settings.StoreAddress), targets: platform.NewTargetClient(),
+		store: platform.NewStore(settings.StoreAddress), targets: platform.NewTargetClient(upstream.NewPool()),
 		state: newState(regions), picker: picker.New(rand.Float64), work: newKeyWork(),
 		leaderChanged: make(chan struct{}, 1), outage: newStoreOutage(),
 		watched: newWatchList(), split: newSplitter(), cold: newColdLimiter(), deadlines: newDeadlineTracker(),
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -39,15 +39,17 @@
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	return &Pool{
-		dialer: net.Dialer{
-			Timeout: dialTimeout,
-			// Keep-alive probes and TCP_USER_TIMEOUT are not used: data sent on a connection that the kernel abandons may
-			// still be delivered. Abandoning a request instead resets its connection, which discards undelivered data.
-			KeepAlive: -1,
-		},
-		idle: map[string][]*conn{},
-	}
+	return NewPoolWithDialer(net.Dialer{
+		Timeout: dialTimeout,
+		// Keep-alive probes and TCP_USER_TIMEOUT are not used: data sent on a connection that the kernel abandons may
+		// still be delivered. Abandoning a request instead resets its connection, which discards undelivered data.
+		KeepAlive: -1,
+	})
+}
+
+// NewPoolWithDialer returns an empty pool that opens its connections with a dialer.
+func NewPoolWithDialer(dialer net.Dialer) *Pool {
+	return &Pool{dialer: dialer, idle: map[string][]*conn{}}
 }
 
 // Counters returns the pool's counters.
