End attempts that wait for a connection when their caller leaves

Callers that left had their non-idempotent requests sent afterwards: an attempt was detached from its caller when it started, and it first had to open a connection, which takes up to 400 ms and more while the links between regions are saturated. The target then began work that nobody waited for.

Now upstream.Request.Wanted, the context of the caller, ends the wait for a connection with ErrAbandoned, a subtype of ErrNotSent: nothing has been sent, so the outcome is certain. After the first byte the attempt is as detached as before. An unused connection returns to the pool, and an abandoned dial does not mark its target as unreachable, as canceled dials of idempotent requests did until now.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -103,7 +103,7 @@
 	call := &platform.Call{
 		Method: j.request.Method, URI: j.uri, Host: j.request.Host, Header: j.request.Header, Body: j.body,
 		AttemptID: j.callerHeaders.AttemptID, TimeLeft: j.timeLeft(now), Target: chosen.target.ID,
-		BeforeSend: j.caller.sending,
+		Wanted: j.request.Context(), BeforeSend: j.caller.sending,
 	}
 	j.caller.connecting()
 	service, key := j.service, j.callerHeaders.Key
@@ -126,8 +126,8 @@
 }
 
 // attemptContext returns a context that ends at the request's deadline. When the caller disconnects, only an idempotent
-// request is canceled. Any other request is left to complete, because a cancellation would leave its outcome unknown
-// to the target.
+// request is canceled. Any other request that has been sent is left to complete, because a cancellation would leave its
+// outcome unknown to the target.
 func (g *gateway) attemptContext(ctx context.Context, j *job, now model.Instant) (context.Context, context.CancelFunc) {
 	if j.route.Kind != fleet.Idempotent {
 		ctx = context.WithoutCancel(ctx)
@@ -209,7 +209,7 @@
 		// The connections to the target may be broken without an error, which only a timeout reveals.
 		g.targets.Pool().CloseIdle(chosen.target.Address)
 	}
-	unreachable := err != nil && errorx.IsOfType(err, upstream.ErrNotSent)
+	unreachable := err != nil && errorx.IsOfType(err, upstream.ErrNotSent) && !errorx.IsOfType(err, upstream.ErrAbandoned)
 	replaced := response != nil && response.ActualTarget != ""
 	if unreachable || replaced {
 		g.targets.Pool().CloseIdle(chosen.target.Address)
@@ -240,6 +240,9 @@
 	}
 	if ctx.Err() != nil {
 		base.code, base.reason = result.OutcomeUnknown, "caller disconnected"
+		if attempt.outcome == attemptNotRun {
+			base.code = result.DeadlinePassed
+		}
 		return base, true
 	}
 	if g.requestsContext.Err() != nil {
--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -90,14 +90,14 @@
 	assert.Equal(t, departure{at: model.Instant(time.Second), phase: phaseConnecting, sentAfter: time.Second}, recorded)
 }
 
-// sendAndLeave sends a request without a body and closes the connection without reading the response.
-func sendAndLeave(t *testing.T, address, method, path, id string) {
+// sendRaw sends a request without a body and returns its connection.
+func sendRaw(t *testing.T, address, method, path, id string) net.Conn {
 	socket, err := net.Dial("tcp4", address)
 	require.NoError(t, err)
 	_, err = fmt.Fprintf(socket, "%s %s HTTP/1.1\r\nHost: a.example\r\nX-Tarragonpoint-Attempt-Id: %s\r\n"+
 		"X-Tarragonpoint-Deadline-Ms: 5000\r\nContent-Length: 0\r\n\r\n", method, path, id)
 	require.NoError(t, err)
-	require.NoError(t, socket.Close())
+	return socket
 }
 
 // serveCounted serves a listener with a gateway. It passes on the context of each request before it is handled, and a
@@ -138,7 +138,7 @@
 			method, path = http.MethodGet, "/reads/1"
 		}
 		ids = append(ids, fmt.Sprint("left-", i))
-		sendAndLeave(t, listener.Addr().String(), method, path, ids[i])
+		require.NoError(t, sendRaw(t, listener.Addr().String(), method, path, ids[i]).Close())
 	}
 	_, handled := serveCounted(t, f.gateway, listener)
 	for range ids {
@@ -168,9 +168,10 @@
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	started, handled := serveCounted(t, g, listener)
-	sendAndLeave(t, listener.Addr().String(), http.MethodPost, "/notices/1", "left")
+	caller := sendRaw(t, listener.Addr().String(), http.MethodPost, "/notices/1", "left")
 	request := receive(t, started)
 	receive(t, dialing)
+	require.NoError(t, caller.Close())
 	receive(t, request.Done())
 	close(connect)
 	receive(t, handled)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -30,6 +30,8 @@
 	ErrRefused = ErrNotSent.NewSubtype("refused")
 	// ErrNotConnected reports that the connection given by Request.ConnectionID is closed or in use.
 	ErrNotConnected = ErrNotSent.NewSubtype("not_connected")
+	// ErrAbandoned reports that Request.Wanted ended before the request was sent.
+	ErrAbandoned = ErrNotSent.NewSubtype("abandoned")
 	// ErrNoResponse reports that the connection closed after the request was sent and before the response was complete.
 	ErrNoResponse = errNamespace.NewType("no_answer")
 	// ErrMalformed reports a response that is not HTTP or does not belong to the request.
@@ -59,6 +61,9 @@
 	Body   []byte
 	// ConnectionID requires the connection that an earlier response identified; 0 allows any connection.
 	ConnectionID uint64
+	// Wanted ends when nobody waits for the response any more. Until the first byte of the request is sent, that ends the
+	// request with ErrAbandoned; later it has no effect. nil never ends.
+	Wanted context.Context
 	// BeforeSend is called once there is a connection, before the first byte of the request is sent; nil calls nothing.
 	BeforeSend func()
 	// ReplaceClosed opens a new connection as soon as the target closes the connection after its response.
@@ -67,6 +72,9 @@
 	Matches func(status int, header http.Header) bool
 }
 
+// abandoned reports whether the request is not wanted any more.
+func (r *Request) abandoned() bool { return r.Wanted != nil && r.Wanted.Err() != nil }
+
 // Response is a complete response.
 type Response struct {
 	Status int
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -62,16 +62,13 @@
 // Do sends a request to an address and returns its complete response. If ctx ends first, the connection is reset, which
 // makes the target cancel the request.
 func (p *Pool) Do(ctx context.Context, address string, request *Request) (*Response, error) {
-	c := p.takeIdle(address, request.ConnectionID)
-	if c == nil && request.ConnectionID != 0 {
-		return nil, ErrNotConnected.New("connection %d to %s is closed or in use", request.ConnectionID, address)
+	c, err := p.connect(ctx, address, request)
+	if err != nil {
+		return nil, err
 	}
-	if c == nil {
-		opened, err := p.open(ctx, address)
-		if err != nil {
-			return nil, err
-		}
-		c = opened
+	if request.abandoned() {
+		p.returnUnused(address, c)
+		return nil, ErrAbandoned.New("request is not wanted any more")
 	}
 	if request.BeforeSend != nil {
 		request.BeforeSend()
@@ -91,6 +88,35 @@
 	return response, nil
 }
 
+// connect returns an idle connection for a request, or opens one until the request is not wanted any more.
+func (p *Pool) connect(ctx context.Context, address string, request *Request) (*conn, error) {
+	c := p.takeIdle(address, request.ConnectionID)
+	if c != nil {
+		return c, nil
+	}
+	if request.ConnectionID != 0 {
+		return nil, ErrNotConnected.New("connection %d to %s is closed or in use", request.ConnectionID, address)
+	}
+	if request.Wanted != nil {
+		wanted, cancel := context.WithCancel(ctx)
+		defer cancel()
+		defer context.AfterFunc(request.Wanted, cancel)()
+		ctx = wanted
+	}
+	c, err := p.open(ctx, address)
+	if err != nil && request.abandoned() {
+		return nil, ErrAbandoned.Wrap(err, "request is not wanted any more")
+	}
+	return c, err
+}
+
+// returnUnused makes a connection available to other requests.
+func (p *Pool) returnUnused(address string, c *conn) {
+	if !p.putIdle(address, c) {
+		_ = c.socket.Close()
+	}
+}
+
 // replace opens a connection, adds it to the idle connections and returns its ID. It returns 0 if that fails; the next
 // request then opens a connection.
 func (p *Pool) replace(ctx context.Context, address string) uint64 {
@@ -98,7 +124,6 @@
 	if err != nil {
 		return 0
 	}
-	c.expires = time.Now().Add(defaultIdleTimeout)
 	if !p.putIdle(address, c) {
 		_ = c.socket.Close()
 		return 0
@@ -144,6 +169,7 @@
 	p.counters.Opened++
 	c := newConn(socket)
 	c.id = p.counters.Opened
+	c.expires = time.Now().Add(defaultIdleTimeout)
 	return c, nil
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -246,3 +247,53 @@
 	assert.Equal(t, defaultIdleTimeout, idleTimeout(http.Header{"Keep-Alive": {"timeout=soon"}}))
 	assert.Zero(t, idleTimeout(http.Header{"Keep-Alive": {"timeout=1"}}))
 }
+
+// Guards against a request that is sent although it was abandoned while its connection was opened, and against a
+// connection that is opened for it and then not used.
+func TestRequestAbandonedDuringDialIsNotSent(t *testing.T) {
+	address := serveRaw(t, respondWith(okResponse))
+	wanted, abandon := context.WithCancel(context.Background())
+	pool := NewPoolWithDialer(net.Dialer{Control: func(string, string, syscall.RawConn) error {
+		abandon()
+		return nil
+	}})
+	request := get("1")
+	request.Wanted = wanted
+	request.BeforeSend = func() { t.Error("the request is sent") }
+	_, err := do(t, pool, address, request)
+	assert.True(t, errorx.IsOfType(err, ErrAbandoned), "%v", err)
+	pool = NewPool()
+	_, err = do(t, pool, address, request)
+	assert.True(t, errorx.IsOfType(err, ErrAbandoned), "%v", err)
+}
+
+// Guards against closing an idle connection that an abandoned request has taken and not used.
+func TestAbandonedRequestReturnsItsConnection(t *testing.T) {
+	address := serveRaw(t, respondWith(okResponse, okResponse))
+	pool := NewPool()
+	_, err := do(t, pool, address, get("1"))
+	require.NoError(t, err)
+	wanted, abandon := context.WithCancel(context.Background())
+	abandon()
+	abandoned := get("2")
+	abandoned.Wanted = wanted
+	_, err = do(t, pool, address, abandoned)
+	assert.True(t, errorx.IsOfType(err, ErrAbandoned), "%v", err)
+	_, err = do(t, pool, address, get("1"))
+	require.NoError(t, err)
+	assert.Equal(t, uint64(1), pool.Counters().Opened)
+}
+
+// A request that is abandoned after it was sent runs to its end.
+func TestRequestAbandonedAfterSendCompletes(t *testing.T) {
+	wanted, abandon := context.WithCancel(context.Background())
+	address := serveRaw(t, func(socket net.Conn, reader *bufio.Reader, _ int) {
+		_, _ = http.ReadRequest(reader)
+		abandon()
+		_, _ = socket.Write([]byte(okResponse))
+	})
+	request := get("1")
+	request.Wanted = wanted
+	_, err := do(t, NewPool(), address, request)
+	assert.NoError(t, err)
+}
