Check that a caller is still connected before an attempt is sent

Requests were sent for callers that had left: the HTTP server notices a closed connection only when its reading goroutine runs. A VM that had no processor time, or was suspended, reads a request and its caller's close together and sent the attempt first. Idempotent requests were then canceled, others ran to their end.

Now the caller's socket is peeked at immediately before the first byte of each attempt, hedges and retries included. A closed connection ends the attempt as not sent. What the check prevents was logged as sent_after_left; that field and its metric go, departed_callers has the label detected instead (server or check).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -103,7 +103,7 @@
 	call := &platform.Call{
 		Method: j.request.Method, URI: j.uri, Host: j.request.Host, Header: j.request.Header, Body: j.body,
 		AttemptID: j.callerHeaders.AttemptID, TimeLeft: j.timeLeft(now), Target: chosen.target.ID,
-		Wanted: j.request.Context(), BeforeSend: j.caller.sending,
+		Wanted: j.request.Context(), BeforeSend: j.caller.beforeSend,
 	}
 	j.caller.connecting()
 	service, key := j.service, j.callerHeaders.Key
@@ -238,7 +238,7 @@
 		base.code = result.OK
 		return base, true
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || errorx.IsOfType(attempt.err, upstream.ErrAbandoned) {
 		base.code, base.reason = result.OutcomeUnknown, "caller disconnected"
 		if attempt.outcome == attemptNotRun {
 			base.code = result.DeadlinePassed
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -6,7 +6,6 @@
 	"net"
 	"sync"
 	"syscall"
-	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -29,18 +28,20 @@
 	return [...]string{"waiting", "connecting", "sent"}[p]
 }
 
+// errCallerLeft reports that a caller closed its connection before an attempt of its request was sent.
+var errCallerLeft = errors.New("caller closed its connection")
+
 // departure describes the disconnection of a request's caller.
 type departure struct {
-	// at is when this VM noticed it, and phase how far the request was then.
+	// at is when this VM detected it, and phase how far the request was then.
 	at    model.Instant
 	phase requestPhase
-	// sentAfter is the time from at to the last attempt that was sent later; 0 if there was none.
-	sentAfter time.Duration
-	// sentUnnoticed is the number of attempts sent after the connection was closed and before this was noticed.
-	sentUnnoticed int
+	// beforeServer is true if the check before an attempt detected it before the HTTP server did.
+	beforeServer bool
 }
 
-// callerWatch records the phase of a request and the departure of its caller. It is safe for concurrent use.
+// callerWatch detects the departure of a request's caller and records how far the request was. It is safe for concurrent
+// use.
 type callerWatch struct {
 	now func() model.Instant
 	// socket is the caller's connection; nil if it cannot be inspected.
@@ -69,17 +70,19 @@
 func watchCaller(ctx context.Context, now func() model.Instant) (*callerWatch, func()) {
 	w := &callerWatch{now: now, phase: phaseWaiting}
 	w.socket, _ = ctx.Value(callerSocketKey{}).(syscall.RawConn)
-	stop := context.AfterFunc(ctx, w.recordLeft)
+	stop := context.AfterFunc(ctx, func() { w.recordLeft(false) })
 	return w, func() { stop() }
 }
 
-func (w *callerWatch) recordLeft() {
+func (w *callerWatch) recordLeft(beforeServer bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.left, w.departed.phase, w.departed.at = true, w.phase, w.now()
+	if !w.left {
+		w.left, w.departed = true, departure{at: w.now(), phase: w.phase, beforeServer: beforeServer}
+	}
 }
 
-// departure returns the caller's departure, and false if none was noticed.
+// departure returns the caller's departure, and false if none was detected.
 func (w *callerWatch) departure() (departure, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -87,24 +90,22 @@
 }
 
 // connecting records that an attempt waits for a connection.
-func (w *callerWatch) connecting() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.phase = max(w.phase, phaseConnecting)
+func (w *callerWatch) connecting() { w.advance(phaseConnecting) }
+
+// beforeSend returns errCallerLeft if the caller has left, and otherwise records that an attempt is sent.
+func (w *callerWatch) beforeSend() error {
+	if w.isClosed() {
+		w.recordLeft(true)
+		return errCallerLeft
+	}
+	w.advance(phaseSent)
+	return nil
 }
 
-// sending records that an attempt is about to be sent.
-func (w *callerWatch) sending() {
-	closed := w.isClosed()
+func (w *callerWatch) advance(phase requestPhase) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.phase = phaseSent
-	switch {
-	case w.left:
-		w.departed.sentAfter = w.now().Sub(w.departed.at)
-	case closed:
-		w.departed.sentUnnoticed++
-	}
+	w.phase = max(w.phase, phase)
 }
 
 // isClosed reports whether the caller has closed its connection. It does not wait for the HTTP server to notice that,
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -191,9 +191,6 @@
 	}
 	if departure, left := j.caller.departure(); left {
 		fields = append(fields, logging.CallerLeft(departure.phase.String(), departure.at.Sub(j.arrived)))
-		if departure.sentAfter > 0 || departure.sentUnnoticed > 0 {
-			fields = append(fields, logging.SentAfterCallerLeft(departure.sentAfter, departure.sentUnnoticed))
-		}
 	}
 	if response.err != nil {
 		fields = append(fields, logging.ErrorType(response.err), logging.SystemError(response.err))
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -111,15 +111,13 @@
 	m.count(counterKey{name: "orders", label: "kind", value: kind, label2: "outcome", value2: outcome})
 }
 
-// departure counts a request whose caller disconnected, and its attempts that were sent after that.
+// departure counts a request whose caller disconnected before its response.
 func (m *metrics) departure(d departure) {
-	m.count(counterKey{name: "departed_callers", label: "phase", value: d.phase.String()})
-	if d.sentAfter > 0 {
-		m.count(counterKey{name: "sent_after_departure", label: "noticed", value: "true"})
-	}
-	if d.sentUnnoticed > 0 {
-		m.add(counterKey{name: "sent_after_departure", label: "noticed", value: "false"}, int64(d.sentUnnoticed))
+	detected := "server"
+	if d.beforeServer {
+		detected = "check"
 	}
+	m.count(counterKey{name: "departed_callers", label: "phase", value: d.phase.String(), label2: "detected", value2: detected})
 }
 
 func (m *metrics) retry(service string) {
--- a/internal/logging/fields.go
+++ b/internal/logging/fields.go
@@ -136,12 +136,6 @@
 	return Field{"caller_left", [2]any{phase, after.Milliseconds()}}
 }
 
-// SentAfterCallerLeft is the time in milliseconds from the noticed disconnection of the caller to the last attempt sent
-// after it, and the number of attempts sent after a disconnection that was not noticed yet.
-func SentAfterCallerLeft(after time.Duration, unnoticed int) Field {
-	return Field{"sent_after_left", [2]int64{after.Milliseconds(), int64(unnoticed)}}
-}
-
 // State is a constant text that names a state.
 func State(state string) Field { return Field{"state", state} }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -30,7 +30,7 @@
 	ErrRefused = ErrNotSent.NewSubtype("refused")
 	// ErrNotConnected reports that the connection given by Request.ConnectionID is closed or in use.
 	ErrNotConnected = ErrNotSent.NewSubtype("not_connected")
-	// ErrAbandoned reports that Request.Wanted ended before the request was sent.
+	// ErrAbandoned reports that the request was not wanted any more before it was sent.
 	ErrAbandoned = ErrNotSent.NewSubtype("abandoned")
 	// ErrNoResponse reports that the connection closed after the request was sent and before the response was complete.
 	ErrNoResponse = errNamespace.NewType("no_answer")
@@ -64,8 +64,9 @@
 	// Wanted ends when nobody waits for the response any more. Until the first byte of the request is sent, that ends the
 	// request with ErrAbandoned; later it has no effect. nil never ends.
 	Wanted context.Context
-	// BeforeSend is called once there is a connection, before the first byte of the request is sent; nil calls nothing.
-	BeforeSend func()
+	// BeforeSend is called once there is a connection, immediately before the first byte of the request is sent. If it
+	// returns an error, the request ends with ErrAbandoned. nil calls nothing.
+	BeforeSend func() error
 	// ReplaceClosed opens a new connection as soon as the target closes the connection after its response.
 	ReplaceClosed bool
 	// Matches reports whether a response with this status and header belongs to the request; nil accepts all responses.
@@ -75,6 +76,20 @@
 // abandoned reports whether the request is not wanted any more.
 func (r *Request) abandoned() bool { return r.Wanted != nil && r.Wanted.Err() != nil }
 
+// confirm returns ErrAbandoned unless the request is still wanted now that there is a connection for it.
+func (r *Request) confirm() error {
+	if r.abandoned() {
+		return ErrAbandoned.Wrap(r.Wanted.Err(), "request is not wanted any more")
+	}
+	if r.BeforeSend == nil {
+		return nil
+	}
+	if err := r.BeforeSend(); err != nil {
+		return ErrAbandoned.Wrap(err, "request is not wanted any more")
+	}
+	return nil
+}
+
 // Response is a complete response.
 type Response struct {
 	Status int
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -66,12 +66,9 @@
 	if err != nil {
 		return nil, err
 	}
-	if request.abandoned() {
+	if err := request.confirm(); err != nil {
 		p.returnUnused(address, c)
-		return nil, ErrAbandoned.New("request is not wanted any more")
-	}
-	if request.BeforeSend != nil {
-		request.BeforeSend()
+		return nil, err
 	}
 	response, keep, err := c.exchange(ctx, request)
 	if err != nil {
