Bound the length of a target's response

A target in trouble may send bytes that are no response without end, in a head or a body, until its connection is closed.

Now a head, with the informational responses before it, is bounded to 64 KiB and a body to 4 MiB. A longer response is malformed: the connection is reset, the outcome is unknown, and only an idempotent request is retried.

Tests: TestEndlessResponseEndsBeforeTheDeadline (endless status line, header line, header, informational responses, chunks, chunk size, body with and without length), TestLongResponseIsComplete.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -46,6 +46,11 @@
 	writeBufferSize = 4 << 10
 	// maxStaleResponses is the number of responses to other requests that are skipped while waiting for a response.
 	maxStaleResponses = 2
+	// maxHeadBytes bounds the head of a response, with the informational responses before it.
+	maxHeadBytes = 64 << 10
+	// maxBodyBytes bounds the body of a response. Responses are held in memory until they are complete, and the smallest
+	// VMs have 184 MB.
+	maxBodyBytes = 4 << 20
 	// keepAliveMargin is subtracted from the idle timeout in a target's Keep-Alive header, because the target closes the
 	// connection when that time is up.
 	keepAliveMargin = 1200 * time.Millisecond
@@ -102,17 +107,20 @@
 
 // conn is one connection to a target. It serves one request at a time.
 type conn struct {
-	id      uint64
-	socket  net.Conn
-	raw     syscall.RawConn
-	reader  *bufio.Reader
-	writer  *bufio.Writer
-	expires time.Time
+	id     uint64
+	socket net.Conn
+	raw    syscall.RawConn
+	// received bounds what reader reads from socket.
+	received *boundedReader
+	reader   *bufio.Reader
+	writer   *bufio.Writer
+	expires  time.Time
 }
 
 func newConn(socket net.Conn) *conn {
+	received := &boundedReader{source: socket}
 	c := &conn{
-		socket: socket, reader: bufio.NewReaderSize(socket, readBufferSize),
+		socket: socket, received: received, reader: bufio.NewReaderSize(received, readBufferSize),
 		writer: bufio.NewWriterSize(socket, writeBufferSize),
 	}
 	if tcp, ok := socket.(syscall.Conn); ok {
@@ -231,8 +239,12 @@
 	if err != nil {
 		return nil, false, err
 	}
+	c.received.left = maxBodyBytes
 	body, err := io.ReadAll(received.Body)
 	_ = received.Body.Close()
+	if errors.Is(err, errTooLong) {
+		return nil, false, ErrMalformed.Wrap(err, "response body exceeds %d bytes", maxBodyBytes)
+	}
 	if err != nil {
 		return nil, false, ErrNoResponse.Wrap(err, "response body is truncated after %d bytes", len(body))
 	}
@@ -245,8 +257,11 @@
 
 // readResponseHead returns the next response without its body. It skips informational (1xx) responses except 101.
 func (c *conn) readResponseHead(method string) (*http.Response, error) {
+	c.received.left = maxHeadBytes
 	for {
-		if _, err := c.reader.Peek(1); err != nil {
+		if _, err := c.reader.Peek(1); errors.Is(err, errTooLong) {
+			return nil, responseHeadError(err)
+		} else if err != nil {
 			return nil, ErrNoResponse.Wrap(err, "no response")
 		}
 		received, err := http.ReadResponse(c.reader, &http.Request{Method: method})
@@ -259,6 +274,25 @@
 	}
 }
 
+// errTooLong reports that a response has more bytes than its bound.
+var errTooLong = errors.New("response is too long")
+
+// boundedReader reads from source and fails with errTooLong after a number of bytes. A target in trouble can send bytes
+// until its connection is closed.
+type boundedReader struct {
+	source io.Reader
+	left   int
+}
+
+func (r *boundedReader) Read(buffer []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, errTooLong
+	}
+	n, err := r.source.Read(buffer[:min(len(buffer), r.left)])
+	r.left -= n
+	return n, err
+}
+
 func responseHeadError(err error) error {
 	var network net.Error
 	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.As(err, &network) {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -315,3 +316,52 @@
 	assert.True(t, errorx.IsOfType(err, ErrAbandoned), "%v", err)
 	pool.Close()
 }
+
+// Guards against a target that sends bytes without end until its connection is closed: they would be collected in memory
+// until the request's deadline.
+func TestEndlessResponseEndsBeforeTheDeadline(t *testing.T) {
+	for name, texts := range map[string][2]string{
+		"status line":   {"", "x"},
+		"header line":   {"HTTP/1.1 200 OK\r\nId: ", "x"},
+		"header":        {"HTTP/1.1 200 OK\r\n", "Name: value\r\n"},
+		"informational": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		"chunks":        {"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"},
+		"chunk size":    {"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+		"body":          {"HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", "x"},
+		"long body":     {"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 1000000000000\r\n\r\n", "x"},
+	} {
+		closed := make(chan int, 1)
+		address := serveRaw(t, func(socket net.Conn, reader *bufio.Reader, _ int) {
+			_, _ = http.ReadRequest(reader)
+			_, _ = socket.Write([]byte(texts[0]))
+			sent, block := 0, []byte(strings.Repeat(texts[1], 4096))
+			for {
+				n, err := socket.Write(block)
+				sent += n
+				if err != nil {
+					closed <- sent
+					return
+				}
+			}
+		})
+		pool := NewPool()
+		_, err := do(t, pool, address, get("1"))
+		require.Error(t, err, name)
+		assert.False(t, errorx.IsOfType(err, ErrTimeout), "%s: %v", name, err)
+		select {
+		case <-closed:
+		case <-time.After(10 * time.Second):
+			t.Fatal(name, ": the connection stays open")
+		}
+	}
+}
+
+// Guards against rejecting a long response that a target may send.
+func TestLongResponseIsComplete(t *testing.T) {
+	const length = 3 << 20
+	address := serveRaw(t, respondWith(fmt.Sprintf("HTTP/1.1 200 OK\r\nId: 1\r\nPadding: %s\r\nContent-Length: %d\r\n\r\n%s",
+		strings.Repeat("h", 32<<10), length, strings.Repeat("b", length))))
+	response, err := do(t, NewPool(), address, get("1"))
+	require.NoError(t, err)
+	assert.Len(t, response.Body, length)
+}
