Do not count the departure of a caller as a failure of its target

Callers that left made targets look as if they failed: a canceled attempt counted as a failure, which raises the target's expected response time up to six times, and requests of callers that stay were rejected as too late.

Now a canceled attempt changes the failure rate only if its response was overdue, so that a target that does not respond is still avoided if its callers leave early (TestOverdueCanceledRequestIsAFailure, TestCanceledRequestIsNoFailure). The goroutine of an attempt uses the route that it was started with, which a hedge may replace meanwhile.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -106,15 +106,15 @@
 		Wanted: j.request.Context(), BeforeSend: j.caller.beforeSend,
 	}
 	j.caller.connecting()
-	service, key := j.service, j.callerHeaders.Key
+	route, service, key, caller := j.route, j.service, j.callerHeaders.Key, j.request.Context()
 	ended := g.metrics.attempt()
 	go func() {
 		defer ended()
 		response, err := g.targets.Do(ctx, chosen.target.Address, call)
 		end := g.clock.Now()
 		outcome := classify(response, err)
-		g.picker.End(end, ticket, pickerResult(response, outcome))
-		g.countBytes(j.route.Name, &chosen.target, len(call.Body), response)
+		g.picker.End(end, ticket, pickerResult(response, outcome, canceledByCaller(caller, route, err)))
+		g.countBytes(route.Name, &chosen.target, len(call.Body), response)
 		g.recordAttempt(end, service, key, chosen, response, err, end.Sub(now))
 		results <- attemptResult{placement: chosen, response: response, err: err, outcome: outcome}
 	}()
@@ -170,8 +170,20 @@
 	return attemptResponded
 }
 
-func pickerResult(response *platform.Response, outcome attemptOutcome) picker.Result {
-	r := picker.Result{Responded: outcome == attemptResponded, Failed: outcome != attemptResponded}
+// canceledByCaller reports whether an attempt ended with err because its caller left. caller ends when the caller leaves.
+func canceledByCaller(caller context.Context, route *fleet.Route, err error) bool {
+	if err == nil || errorx.IsOfType(err, upstream.ErrAbandoned) {
+		return err != nil
+	}
+	// An attempt of a non-idempotent request that has been sent does not end with its caller.
+	return route.Kind == fleet.Idempotent && errorx.IsOfType(err, upstream.ErrTimeout) && caller.Err() != nil
+}
+
+// pickerResult returns what an attempt tells about its target.
+func pickerResult(response *platform.Response, outcome attemptOutcome, canceled bool) picker.Result {
+	r := picker.Result{
+		Responded: outcome == attemptResponded, Failed: outcome != attemptResponded && !canceled, Canceled: canceled,
+	}
 	if response != nil && response.Load != nil {
 		r.Report = &picker.Report{
 			Running: response.Load.Running, Waiting: response.Load.Waiting, Slots: response.Load.Slots,
--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -13,6 +13,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/picker"
+	"github.com/tarragonpoint/tarragonpoint/internal/standin/platformstub"
 	"github.com/tarragonpoint/tarragonpoint/internal/upstream"
 	"github.com/tarragonpoint/tarragonpoint/platform"
 )
@@ -192,3 +194,22 @@
 	receive(t, handled)
 	assert.Zero(t, f.runs("left"))
 }
+
+// Guards against targets that count as failing or unreachable because callers leave.
+func TestDepartureIsNoFailureOfTheTarget(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t)
+	f.setModes(platformstub.Hang, "d-1", "d-2")
+	for i := 0; i < 10; i++ {
+		caller := sendRaw(t, f.gateway.settings.ListenCallers, http.MethodGet, "/reads/1", fmt.Sprint("left-", i))
+		require.Eventually(t, func() bool { return f.gateway.metrics.inFlight() > 0 }, settleTime, time.Millisecond)
+		require.NoError(t, caller.Close())
+		require.Eventually(t, func() bool { return f.gateway.metrics.inFlight() == 0 }, settleTime, time.Millisecond)
+	}
+	now := f.gateway.clock.Now()
+	for _, entry := range f.gateway.state.service(now, "desk") {
+		estimate := f.gateway.picker.Estimate(now, picker.Request{Route: "reads", Zone: "a", Region: "north"}, &entry.Target)
+		assert.Equal(t, 1.0, estimate.FailureFactor, entry.Target.ID)
+	}
+	assert.Empty(t, f.gateway.state.failedTargets())
+}
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -79,7 +79,9 @@
 	Responded bool
 	// Failed is true if the request failed at the target or the target did not accept it.
 	Failed bool
-	Report *Report
+	// Canceled is true if the request ended because its caller left. It counts as failed only if its response was overdue.
+	Canceled bool
+	Report   *Report
 }
 
 // Ticket represents a request in flight.
@@ -282,16 +284,22 @@
 func (p *Picker) overduePenalty(now model.Instant, s *stats) float64 {
 	highest := 1.0
 	for _, ticket := range s.inFlight {
-		if ticket.expected <= 0 {
-			continue
-		}
-		if ratio := float64(now.Sub(ticket.started)) / float64(ticket.expected); ratio > overdueRatio {
-			highest = max(highest, ratio)
-		}
+		highest = max(highest, ticket.overdue(now))
 	}
 	return highest
 }
 
+// overdue returns the ratio of elapsed to expected time if it is above overdueRatio, and 1 otherwise.
+func (t *Ticket) overdue(now model.Instant) float64 {
+	if t.expected <= 0 {
+		return 1
+	}
+	if ratio := float64(now.Sub(t.started)) / float64(t.expected); ratio > overdueRatio {
+		return ratio
+	}
+	return 1
+}
+
 // Begin records that a request is sent to a target. The caller must pass the ticket to End.
 func (p *Picker) Begin(now model.Instant, request Request, target *fleet.Target) *Ticket {
 	p.mu.Lock()
@@ -319,7 +327,11 @@
 			break
 		}
 	}
-	p.recordOutcome(now, s, result.Failed)
+	if !result.Canceled {
+		p.recordOutcome(now, s, result.Failed)
+	} else if ticket.overdue(now) > 1 {
+		p.recordOutcome(now, s, true)
+	}
 	if result.Report != nil {
 		p.recordReport(now, ticket.serviceZone, s, result.Report)
 	}
--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -108,6 +108,27 @@
 	assert.Less(t, p.Estimate(at(20*time.Second), localRequest, &list[0]).Total, failing/3)
 }
 
+// Guards against targets that are avoided because callers left before their responses were due.
+func TestCanceledRequestIsNoFailure(t *testing.T) {
+	p, list := newPicker(), targets("a", "a")
+	before := p.Estimate(at(0), localRequest, &list[0]).Total
+	for i := 0; i < 10; i++ {
+		p.End(at(time.Millisecond), p.Begin(at(0), localRequest, &list[0]), Result{Canceled: true})
+	}
+	assert.Equal(t, before, p.Estimate(at(time.Millisecond), localRequest, &list[0]).Total)
+}
+
+// Guards against an unresponsive target that gets requests because its callers leave before their deadline.
+func TestOverdueCanceledRequestIsAFailure(t *testing.T) {
+	p, list := newPicker(), targets("a", "a")
+	end := at(3 * time.Second)
+	p.End(end, p.Begin(at(0), localRequest, &list[0]), Result{Canceled: true})
+	p.End(end, p.Begin(at(0), localRequest, &list[1]), Result{Failed: true})
+	canceled := p.Estimate(end, localRequest, &list[0])
+	assert.Greater(t, canceled.FailureFactor, 1.0)
+	assert.Equal(t, p.Estimate(end, localRequest, &list[1]).FailureFactor, canceled.FailureFactor)
+}
+
 // Guards against requests to an unresponsive target: its requests stay in flight without an outcome, so an overdue
 // response must count before the request ends.
 func TestOverdueResponseCounts(t *testing.T) {
