Do not mark a target as unreachable when a hedged request cancels its dial

Callers lost targets that were fine: when one attempt of a hedged request got its response while the other one was still opening its connection, the canceled dial counted as a failure to reach the target. The VM then avoided that target until its next report, closed its idle connections and had the leader relay the report.

Evidence: read in the code; TestCanceledDialIsAbandoned failed in 2 of 2 runs without the change.

Now every canceled dial ends with ErrAbandoned, which marks no target; a dial that reaches its deadline still does. The reason of a request's response comes from the caller's departure instead of that error, so that a stop of the process is not logged as one.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -250,7 +250,7 @@
 		base.code = result.OK
 		return base, true
 	}
-	if ctx.Err() != nil || errorx.IsOfType(attempt.err, upstream.ErrAbandoned) {
+	if _, left := j.caller.departure(); left || ctx.Err() != nil {
 		base.code, base.reason = result.OutcomeUnknown, "caller disconnected"
 		if attempt.outcome == attemptNotRun {
 			base.code = result.DeadlinePassed
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -97,11 +97,12 @@
 	if request.Wanted != nil {
 		wanted, cancel := context.WithCancel(ctx)
 		defer cancel()
-		defer context.AfterFunc(request.Wanted, cancel)()
+		stop := context.AfterFunc(request.Wanted, cancel)
+		defer stop()
 		ctx = wanted
 	}
 	c, err := p.open(ctx, address)
-	if err != nil && request.abandoned() {
+	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
 		return nil, ErrAbandoned.Wrap(err, "request is not wanted any more")
 	}
 	return c, err
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -271,6 +271,31 @@
 	assert.True(t, errorx.IsOfType(err, ErrAbandoned), "%v", err)
 }
 
+// Guards against a target that counts as unreachable because a request was canceled while its connection was opened, as
+// a hedged request is when its other attempt gets the response. A deadline that passes meanwhile does count.
+func TestCanceledDialIsAbandoned(t *testing.T) {
+	address := serveRaw(t, respondWith(okResponse))
+	for name, end := range map[string]func() (context.Context, context.CancelFunc){
+		"canceled": func() (context.Context, context.CancelFunc) { return context.WithCancel(context.Background()) },
+		"deadline": func() (context.Context, context.CancelFunc) {
+			return context.WithTimeout(context.Background(), 20*time.Millisecond)
+		},
+	} {
+		ctx, cancel := end()
+		pool := NewPoolWithDialer(net.Dialer{Control: func(string, string, syscall.RawConn) error {
+			if name == "canceled" {
+				cancel()
+			}
+			<-ctx.Done()
+			return nil
+		}})
+		_, err := pool.Do(ctx, address, get("1"))
+		cancel()
+		assert.True(t, errorx.IsOfType(err, ErrNotSent), "%s: %v", name, err)
+		assert.Equal(t, name == "canceled", errorx.IsOfType(err, ErrAbandoned), "%s: %v", name, err)
+	}
+}
+
 // Guards against closing an idle connection that an abandoned request has taken and not used.
 func TestAbandonedRequestReturnsItsConnection(t *testing.T) {
 	address := serveRaw(t, respondWith(okResponse, okResponse))
