--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -198,7 +198,7 @@
 
 // slowDown makes the gateway expect that a service takes over a second, so that no response is overdue, and no attempt
 // hedged, before the route's timeout of 3 s.
-func slowDown(t *testing.T, g *gateway, service model.Service, route string) {
+func slowDown(g *gateway, service model.Service, route string) {
 	request := picker.Request{Route: route, Zone: "a", Region: "north"}
 	for _, entry := range g.state.service(g.clock.Now(), service) {
 		for now := g.clock.Now(); g.picker.Estimate(now, request, &entry.Target).Total < 1250*time.Millisecond; {
@@ -213,7 +213,7 @@
 	t.Parallel()
 	f := startFixture(t)
 	f.setModes(platformstub.Hang, "d-1", "d-2")
-	slowDown(t, f.gateway, "desk", "reads")
+	slowDown(f.gateway, "desk", "reads")
 	for i := 0; i < 10; i++ {
 		caller := sendRaw(t, f.gateway.settings.ListenCallers, http.MethodGet, "/reads/1", fmt.Sprint("left-", i))
 		require.Eventually(t, func() bool { return f.gateway.metrics.inFlight() > 0 }, settleTime, time.Millisecond)
