Bound the memory of response bodies instead of the length of each

What callers saw: a response above 4 MiB was malformed, so its caller got an error although the target had answered. The bound was chosen for VMs of 184 MB: on larger ones it rejects responses that fit easily, and on smaller ones many endless responses at the same time still fill the memory.

Cause: bounded each body by a constant, but what is scarce is the memory of the VM for all bodies together.

A body that finds no memory left is malformed, as before. The first 64 KiB of each body do not count, so that ordinary responses arrive while endless ones hold the memory. Heads are still bounded to 64 KiB.

--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -174,14 +174,14 @@
 	f := startFixture(t)
 	dialing, connect := make(chan struct{}), make(chan struct{})
 	g := f.newVM("vm-2")
-	g.targets = platform.NewTargetClient(upstream.NewPoolWithDialer(net.Dialer{
+	g.targets = platform.NewTargetClient(upstream.NewPool(upstream.Options{Dialer: &net.Dialer{
 		Timeout: settleTime,
 		Control: func(string, string, syscall.RawConn) error {
 			dialing <- struct{}{}
 			<-connect
 			return nil
 		},
-	}))
+	}}))
 	f.runVM(g)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -76,7 +76,7 @@
 	settings := keyspace.DefaultSettings()
 	settings.Hold = min(settings.Hold, g.settings.HoldMax)
 	return &controller{
-		gw: g, self: self, targets: platform.NewTargetClient(upstream.NewPool()), releases: platform.NewTargetClient(upstream.NewPool()),
+		gw: g, self: self, targets: newTargetClient(controlBodyMemory), releases: newTargetClient(controlBodyMemory),
 		addressLocks: newAddressLocks(), settings: settings,
 		manager: keyspace.New(settings, self, g.settings.ListenPeers, rand.Uint64),
 		events:  make(chan func(model.Instant), eventQueueSize), stopped: make(chan struct{}),
--- a/internal/gateway/role.go
+++ b/internal/gateway/role.go
@@ -119,7 +119,7 @@
 	}
 	g := &gateway{
 		settings: settings, clock: newClock(), log: log, metrics: newMetrics(),
-		store: platform.NewStore(settings.StoreAddress), targets: platform.NewTargetClient(upstream.NewPool()),
+		store: platform.NewStore(settings.StoreAddress), targets: newTargetClient(settings.bodyMemory()),
 		state: newState(regions), picker: picker.New(rand.Float64), work: newKeyWork(),
 		leaderChanged: make(chan struct{}, 1), outage: newStoreOutage(),
 		watched: newWatchList(), split: newSplitter(), cold: newColdLimiter(), deadlines: newDeadlineTracker(),
@@ -134,6 +134,11 @@
 	return g, nil
 }
 
+// newTargetClient returns a client with a connection pool of its own.
+func newTargetClient(bodyMemory int64) *platform.TargetClient {
+	return platform.NewTargetClient(upstream.NewPool(upstream.Options{BodyMemory: bodyMemory}))
+}
+
 func (g *gateway) newBudget() budget {
 	return retry.NewWindowBudget(g.settings.RetryShare*retryShareFactor, g.settings.RetryWindow)
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -19,6 +19,15 @@
 	ErrSettings = errNamespace.NewType("settings")
 )
 
+const (
+	bytesPerMB = 1_000_000
+	// bodyMemoryShare is the share of a VM's memory for the incomplete bodies of responses. While a body grows it is held
+	// twice, and the garbage collector may leave as much again.
+	bodyMemoryShare = 1.0 / 16
+	// controlBodyMemory is the memory for the incomplete bodies of responses to grants and releases, in bytes.
+	controlBodyMemory = 1 << 20
+)
+
 // Settings are the settings of the gateway role. They are read from flags, environment variables and a file of lines
 // "flag value"; unknown lines of the file are ignored.
 type Settings struct {
@@ -51,6 +60,8 @@
 	ColdBurst float64
 	// LinkMbps is the bandwidth of this VM's link, in Mbit/s; 0 if it is not known.
 	LinkMbps float64
+	// MemoryMB is the memory limit of this VM, in MB; 0 if it is not known.
+	MemoryMB float64
 	// LogLevel is a level of logrus.
 	LogLevel string
 }
@@ -82,6 +93,8 @@
 		"Requests per second that are added to the rate limit of a cold target, over all VMs.")
 	flags.Float64Var(&s.LinkMbps, "link-mbps", 0,
 		"Bandwidth of this VM's link in Mbit/s; VMs with a fast link are preferred as leader. 0 if it is not known.")
+	flags.Float64Var(&s.MemoryMB, "memory-mb", 0,
+		"Memory limit of this VM in MB; it bounds the memory for responses of targets. 0 if it is not known.")
 	flags.StringVar(&s.LogLevel, "log-level", "info",
 		"Minimum level of the log lines that are written: debug, info, warning or error.")
 	flags.String("config", "",
@@ -130,12 +143,18 @@
 	if s.LinkMbps < 0 {
 		addProblem("link-mbps", fmt.Sprint(s.LinkMbps), "set a bandwidth in Mbit/s, or 0")
 	}
+	if s.MemoryMB < 0 {
+		addProblem("memory-mb", fmt.Sprint(s.MemoryMB), "set a memory limit in MB, or 0")
+	}
 	if len(problems) == 0 {
 		return nil
 	}
 	return ErrSettings.New("%s", strings.Join(problems, "\n"))
 }
 
+// bodyMemory returns the number of bytes that incomplete bodies of responses may hold; 0 if the memory limit is not known.
+func (s *Settings) bodyMemory() int64 { return int64(s.MemoryMB * bytesPerMB * bodyMemoryShare) }
+
 // regions returns the region of each zone.
 func (s *Settings) regions() (map[model.Zone]model.Region, error) {
 	regions := map[model.Zone]model.Region{}
--- a/internal/gateway/settings_test.go
+++ b/internal/gateway/settings_test.go
@@ -25,6 +25,7 @@
 listen-peers 10.0.0.1:82
 store-address 10.0.0.9:90
 retry-window 10s
+memory-mb 160
 a-setting-of-a-later-version 7
 `
 
@@ -46,6 +47,7 @@
 	require.NoError(t, err)
 	assert.Equal(t, "front-1", settings.VM)
 	assert.Equal(t, 10*time.Second, settings.RetryWindow)
+	assert.EqualValues(t, 10_000_000, settings.bodyMemory())
 	regions, err := settings.regions()
 	require.NoError(t, err)
 	assert.Equal(t, map[model.Zone]model.Region{"a": "north", "b": "south"}, regions)
@@ -53,9 +55,9 @@
 
 // All invalid settings are reported in one error.
 func TestAllInvalidSettingsAreReported(t *testing.T) {
-	_, err := parse(t, "zone a\nretry-window 0s\n")
+	_, err := parse(t, "zone a\nretry-window 0s\nmemory-mb -1\n")
 	require.Error(t, err)
-	for _, name := range []string{"vm-id", "region", "zones", "listen-callers", "listen-ready", "listen-peers", "store-address", "retry-window"} {
+	for _, name := range []string{"vm-id", "region", "zones", "listen-callers", "listen-ready", "listen-peers", "store-address", "retry-window", "memory-mb"} {
 		assert.Contains(t, err.Error(), "-"+name)
 	}
 	_, err = parse(t, "retry-share much\n")
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -46,11 +46,6 @@
 	writeBufferSize = 4 << 10
 	// maxStaleResponses is the number of responses to other requests that are skipped while waiting for a response.
 	maxStaleResponses = 2
-	// maxHeadBytes bounds the head of a response, with the informational responses before it.
-	maxHeadBytes = 64 << 10
-	// maxBodyBytes bounds the body of a response. Responses are held in memory until they are complete, and the smallest
-	// VMs have 184 MB.
-	maxBodyBytes = 4 << 20
 	// keepAliveMargin is subtracted from the idle timeout in a target's Keep-Alive header, because the target closes the
 	// connection when that time is up.
 	keepAliveMargin = 1200 * time.Millisecond
@@ -110,18 +105,20 @@
 	id     uint64
 	socket net.Conn
 	raw    syscall.RawConn
-	// received bounds what reader reads from socket.
+	// received bounds the heads that reader reads from socket.
 	received *boundedReader
 	reader   *bufio.Reader
 	writer   *bufio.Writer
-	expires  time.Time
+	// bodies is the memory for the bodies of all connections of the pool.
+	bodies  *bodyMemory
+	expires time.Time
 }
 
-func newConn(socket net.Conn) *conn {
+func newConn(socket net.Conn, bodies *bodyMemory) *conn {
 	received := &boundedReader{source: socket}
 	c := &conn{
 		socket: socket, received: received, reader: bufio.NewReaderSize(received, readBufferSize),
-		writer: bufio.NewWriterSize(socket, writeBufferSize),
+		writer: bufio.NewWriterSize(socket, writeBufferSize), bodies: bodies,
 	}
 	if tcp, ok := socket.(syscall.Conn); ok {
 		// On an error, raw is nil: isReusable cannot inspect the socket, and the connection is not reused.
@@ -239,11 +236,10 @@
 	if err != nil {
 		return nil, false, err
 	}
-	c.received.left = maxBodyBytes
-	body, err := io.ReadAll(received.Body)
-	_ = received.Body.Close()
+	// The body is not closed on an error, as that would read its rest.
+	body, err := c.bodies.readAll(received.Body)
 	if errors.Is(err, errTooLong) {
-		return nil, false, ErrMalformed.Wrap(err, "response body exceeds %d bytes", maxBodyBytes)
+		return nil, false, ErrMalformed.Wrap(err, "response body is not complete after %d bytes", len(body))
 	}
 	if err != nil {
 		return nil, false, ErrNoResponse.Wrap(err, "response body is truncated after %d bytes", len(body))
@@ -258,10 +254,13 @@
 // readResponseHead returns the next response without its body. It skips informational (1xx) responses except 101.
 func (c *conn) readResponseHead(method string) (*http.Response, error) {
 	c.received.left = maxHeadBytes
+	defer func() { c.received.left = unbounded }()
 	for {
-		if _, err := c.reader.Peek(1); errors.Is(err, errTooLong) {
+		_, err := c.reader.Peek(1)
+		if errors.Is(err, errTooLong) {
 			return nil, responseHeadError(err)
-		} else if err != nil {
+		}
+		if err != nil {
 			return nil, ErrNoResponse.Wrap(err, "no response")
 		}
 		received, err := http.ReadResponse(c.reader, &http.Request{Method: method})
@@ -274,25 +273,6 @@
 	}
 }
 
-// errTooLong reports that a response has more bytes than its bound.
-var errTooLong = errors.New("response is too long")
-
-// boundedReader reads from source and fails with errTooLong after a number of bytes. A target in trouble can send bytes
-// until its connection is closed.
-type boundedReader struct {
-	source io.Reader
-	left   int
-}
-
-func (r *boundedReader) Read(buffer []byte) (int, error) {
-	if r.left <= 0 {
-		return 0, errTooLong
-	}
-	n, err := r.source.Read(buffer[:min(len(buffer), r.left)])
-	r.left -= n
-	return n, err
-}
-
 func responseHeadError(err error) error {
 	var network net.Error
 	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.As(err, &network) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -29,7 +29,8 @@
 
 // Pool keeps idle connections to targets, by address. It is safe for concurrent use and has one lock.
 type Pool struct {
-	dialer net.Dialer
+	dialer *net.Dialer
+	bodies *bodyMemory
 
 	mu        sync.Mutex
 	idle      map[string][]*conn
@@ -37,19 +38,33 @@
 	lastSweep time.Time
 }
 
+// Options are the options of a pool.
+type Options struct {
+	// BodyMemory is the number of bytes that the bodies of responses that are being received may hold together; 0 means
+	// 32 MiB. A response for which there is no memory is malformed. The first 64 KiB of each body do not count.
+	BodyMemory int64
+	// Dialer opens connections; nil means one with the timeouts of this package.
+	Dialer *net.Dialer
+}
+
 // NewPool returns an empty pool.
-func NewPool() *Pool {
-	return NewPoolWithDialer(net.Dialer{
+func NewPool(options Options) *Pool {
+	if options.BodyMemory == 0 {
+		options.BodyMemory = defaultBodyMemory
+	}
+	if options.Dialer == nil {
+		options.Dialer = defaultDialer()
+	}
+	return &Pool{dialer: options.Dialer, bodies: newBodyMemory(options.BodyMemory), idle: map[string][]*conn{}}
+}
+
+func defaultDialer() *net.Dialer {
+	return &net.Dialer{
 		Timeout: dialTimeout,
 		// Keep-alive probes and TCP_USER_TIMEOUT are not used: data sent on a connection that the kernel abandons may
 		// still be delivered. Abandoning a request instead resets its connection, which discards undelivered data.
 		KeepAlive: -1,
-	})
-}
-
-// NewPoolWithDialer returns an empty pool that opens its connections with a dialer.
-func NewPoolWithDialer(dialer net.Dialer) *Pool {
-	return &Pool{dialer: dialer, idle: map[string][]*conn{}}
+	}
 }
 
 // Counters returns the pool's counters.
@@ -165,7 +180,7 @@
 		return nil, ErrNotSent.Wrap(err, "connection to %s cannot be opened", address)
 	}
 	p.counters.Opened++
-	c := newConn(socket)
+	c := newConn(socket, p.bodies)
 	c.id = p.counters.Opened
 	c.expires = time.Now().Add(defaultIdleTimeout)
 	return c, nil
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -75,7 +75,7 @@
 // Guards against opening a connection for each request.
 func TestConnectionIsReused(t *testing.T) {
 	address := serveRaw(t, respondWith(okResponse, okResponse))
-	pool := NewPool()
+	pool := NewPool(Options{})
 	first, err := do(t, pool, address, get("1"))
 	require.NoError(t, err)
 	assert.Equal(t, "one", string(first.Body))
@@ -96,7 +96,7 @@
 			_, _ = http.ReadRequest(reader)
 			_, _ = socket.Write([]byte(text))
 		})
-		_, err := do(t, NewPool(), address, get("1"))
+		_, err := do(t, NewPool(Options{}), address, get("1"))
 		assert.True(t, errorx.IsOfType(err, ErrNoResponse), "%s: %v", name, err)
 	}
 }
@@ -109,7 +109,7 @@
 			_, _ = http.ReadRequest(reader)
 			_, _ = socket.Write([]byte(text))
 		})
-		_, err := do(t, NewPool(), address, get("1"))
+		_, err := do(t, NewPool(Options{}), address, get("1"))
 		assert.True(t, errorx.IsOfType(err, ErrMalformed), "%q: %v", text, err)
 	}
 }
@@ -120,7 +120,7 @@
 		_, _ = http.ReadRequest(reader)
 		_, _ = socket.Write([]byte("HTTP/1.1 200 OK\r\nId: 1\r\n\r\nwhole"))
 	})
-	response, err := do(t, NewPool(), address, get("1"))
+	response, err := do(t, NewPool(Options{}), address, get("1"))
 	require.NoError(t, err)
 	assert.Equal(t, "whole", string(response.Body))
 	assert.Zero(t, response.ConnectionID)
@@ -130,7 +130,7 @@
 func TestResponseToAnotherRequestIsSkipped(t *testing.T) {
 	other := strings.ReplaceAll(okResponse, "Id: 1", "Id: 9")
 	address := serveRaw(t, respondWith(other+okResponse, okResponse))
-	pool := NewPool()
+	pool := NewPool(Options{})
 	response, err := do(t, pool, address, get("1"))
 	require.NoError(t, err)
 	assert.Equal(t, "1", response.Header.Get("Id"))
@@ -140,7 +140,7 @@
 // Bytes after a complete response belong to no request: the connection is not reused.
 func TestExtraBytesEndTheConnection(t *testing.T) {
 	address := serveRaw(t, respondWith(okResponse+okResponse, okResponse))
-	pool := NewPool()
+	pool := NewPool(Options{})
 	_, err := do(t, pool, address, get("1"))
 	require.NoError(t, err)
 	_, err = do(t, pool, address, get("1"))
@@ -155,7 +155,7 @@
 	require.NoError(t, err)
 	address := listener.Addr().String()
 	require.NoError(t, listener.Close())
-	_, err = do(t, NewPool(), address, get("1"))
+	_, err = do(t, NewPool(Options{}), address, get("1"))
 	assert.True(t, errorx.IsOfType(err, ErrRefused), "%v", err)
 	assert.True(t, errorx.IsOfType(err, ErrNotSent), "%v", err)
 }
@@ -169,7 +169,7 @@
 		}
 		respondWith(okResponse, okResponse)(socket, reader, number)
 	})
-	pool := NewPool()
+	pool := NewPool(Options{})
 	first, err := do(t, pool, address, get("1"))
 	require.NoError(t, err)
 	pool.CloseIdle(address)
@@ -195,7 +195,7 @@
 		}
 		respondWith(okResponse)(socket, reader, number)
 	})
-	pool := NewPool()
+	pool := NewPool(Options{})
 	request := get("1")
 	request.ReplaceClosed = true
 	response, err := do(t, pool, address, request)
@@ -216,7 +216,7 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(20*time.Millisecond, cancel)
-	_, err := NewPool().Do(ctx, address, get("1"))
+	_, err := NewPool(Options{}).Do(ctx, address, get("1"))
 	assert.True(t, errorx.IsOfType(err, ErrTimeout), "%v", err)
 	select {
 	case <-ended:
@@ -235,7 +235,7 @@
 	request := get("1")
 	request.Method = http.MethodPost
 	request.Body = make([]byte, 16<<20)
-	response, err := do(t, NewPool(), address, request)
+	response, err := do(t, NewPool(Options{}), address, request)
 	require.NoError(t, err)
 	assert.Equal(t, http.StatusServiceUnavailable, response.Status)
 	assert.Zero(t, response.ConnectionID)
@@ -254,10 +254,10 @@
 func TestRequestAbandonedDuringDialIsNotSent(t *testing.T) {
 	address := serveRaw(t, respondWith(okResponse))
 	wanted, abandon := context.WithCancel(context.Background())
-	pool := NewPoolWithDialer(net.Dialer{Control: func(string, string, syscall.RawConn) error {
+	pool := NewPool(Options{Dialer: &net.Dialer{Control: func(string, string, syscall.RawConn) error {
 		abandon()
 		return nil
-	}})
+	}}})
 	request := get("1")
 	request.Wanted = wanted
 	request.BeforeSend = func() error {
@@ -266,7 +266,7 @@
 	}
 	_, err := do(t, pool, address, request)
 	assert.True(t, errorx.IsOfType(err, ErrAbandoned), "%v", err)
-	pool = NewPool()
+	pool = NewPool(Options{})
 	_, err = do(t, pool, address, request)
 	assert.True(t, errorx.IsOfType(err, ErrAbandoned), "%v", err)
 }
@@ -282,13 +282,13 @@
 		},
 	} {
 		ctx, cancel := end()
-		pool := NewPoolWithDialer(net.Dialer{Control: func(string, string, syscall.RawConn) error {
+		pool := NewPool(Options{Dialer: &net.Dialer{Control: func(string, string, syscall.RawConn) error {
 			if name == "canceled" {
 				cancel()
 			}
 			<-ctx.Done()
 			return nil
-		}})
+		}}})
 		_, err := pool.Do(ctx, address, get("1"))
 		cancel()
 		assert.True(t, errorx.IsOfType(err, ErrNotSent), "%s: %v", name, err)
@@ -299,7 +299,7 @@
 // Guards against closing an idle connection that an abandoned request has taken and not used.
 func TestAbandonedRequestReturnsItsConnection(t *testing.T) {
 	address := serveRaw(t, respondWith(okResponse, okResponse))
-	pool := NewPool()
+	pool := NewPool(Options{})
 	_, err := do(t, pool, address, get("1"))
 	require.NoError(t, err)
 	wanted, abandon := context.WithCancel(context.Background())
@@ -323,7 +323,7 @@
 	})
 	request := get("1")
 	request.Wanted = wanted
-	_, err := do(t, NewPool(), address, request)
+	_, err := do(t, NewPool(Options{}), address, request)
 	assert.NoError(t, err)
 }
 
@@ -336,7 +336,7 @@
 	})
 	request := get("1")
 	request.BeforeSend = func() error { return context.Canceled }
-	pool := NewPool()
+	pool := NewPool(Options{})
 	_, err := do(t, pool, address, request)
 	assert.True(t, errorx.IsOfType(err, ErrAbandoned), "%v", err)
 	pool.Close()
@@ -351,6 +351,7 @@
 		"header":        {"HTTP/1.1 200 OK\r\n", "Name: value\r\n"},
 		"informational": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
 		"chunks":        {"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"},
+		"trailer":       {"HTTP/1.1 200 OK\r\nId: 1\r\nTrailer: X\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: value\r\n"},
 		"chunk size":    {"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
 		"body":          {"HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", "x"},
 		"long body":     {"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 1000000000000\r\n\r\n", "x"},
@@ -369,10 +370,11 @@
 				}
 			}
 		})
-		pool := NewPool()
-		_, err := do(t, pool, address, get("1"))
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		_, err := NewPool(Options{BodyMemory: 4 << 20}).Do(ctx, address, get("1"))
 		require.Error(t, err, name)
-		assert.False(t, errorx.IsOfType(err, ErrTimeout), "%s: %v", name, err)
+		assert.NoError(t, ctx.Err(), "%s: %v", name, err)
+		cancel()
 		select {
 		case <-closed:
 		case <-time.After(10 * time.Second):
@@ -383,10 +385,39 @@
 
 // Guards against rejecting a long response that a target may send.
 func TestLongResponseIsComplete(t *testing.T) {
-	const length = 3 << 20
+	const length = 20 << 20
 	address := serveRaw(t, respondWith(fmt.Sprintf("HTTP/1.1 200 OK\r\nId: 1\r\nPadding: %s\r\nContent-Length: %d\r\n\r\n%s",
 		strings.Repeat("h", 32<<10), length, strings.Repeat("b", length))))
-	response, err := do(t, NewPool(), address, get("1"))
+	response, err := do(t, NewPool(Options{}), address, get("1"))
 	require.NoError(t, err)
 	assert.Len(t, response.Body, length)
 }
+
+// Guards against endless responses that together fill the memory, and against ordinary responses that fail meanwhile.
+func TestResponsesShareTheMemoryForBodies(t *testing.T) {
+	const memory = 256 << 10
+	holding := make(chan struct{})
+	long := fmt.Sprintf("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: %d\r\n\r\n%s", 1<<20, strings.Repeat("b", memory))
+	holder := serveRaw(t, func(socket net.Conn, reader *bufio.Reader, _ int) {
+		_, _ = http.ReadRequest(reader)
+		_, _ = socket.Write([]byte(long))
+		<-holding
+	})
+	body := strings.Repeat("b", freeBodyBytes)
+	ordinary := serveRaw(t, respondWith(fmt.Sprintf("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: %d\r\n\r\n%s", len(body), body)))
+	over := serveRaw(t, respondWith(fmt.Sprintf("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: %d\r\n\r\n%s", memory, strings.Repeat("b", memory))))
+	pool := NewPool(Options{BodyMemory: memory})
+	ended := make(chan error, 1)
+	go func() {
+		_, err := pool.Do(context.Background(), holder, get("1"))
+		ended <- err
+	}()
+	require.Eventually(t, func() bool { return pool.bodies.free.Load() == freeBodyBytes }, 10*time.Second, time.Millisecond)
+	_, err := do(t, pool, over, get("1"))
+	assert.True(t, errorx.IsOfType(err, ErrMalformed), "%v", err)
+	_, err = do(t, pool, ordinary, get("1"))
+	assert.NoError(t, err)
+	close(holding)
+	assert.True(t, errorx.IsOfType(<-ended, ErrNoResponse))
+	assert.EqualValues(t, memory, pool.bodies.free.Load())
+}
