Say in the log what noticed a departure and when a process counts as stalled

For an on-call engineer, the line of a request whose caller had left did not say whether the HTTP server or the check before an attempt had noticed that (only the metric departed_callers did), the line of a request that its target completed had an empty reason, and "process stalled" did not have the threshold that decided it.

caller_left now has the detector as its second item, "ended after its caller disconnected" has a reason, and "process stalled" has the threshold. Also simplified without a change of behaviour: the check of the caller's socket, the ratio of elapsed to expected time of the picker, isCanceled, and a variable that hid the type departure.

go test ./internal/gateway ./internal/picker ./internal/logging passes; TestPageListsAllMetrics holds the metrics page.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -113,7 +113,7 @@
 		response, err := g.targets.Do(ctx, chosen.target.Address, call)
 		end := g.clock.Now()
 		outcome := classify(response, err)
-		g.picker.End(end, ticket, pickerResult(response, outcome, canceledByCaller(caller, route, err)))
+		g.picker.End(end, ticket, pickerResult(response, outcome, isCanceled(caller, route, err)))
 		g.countBytes(route.Name, &chosen.target, len(call.Body), response)
 		g.recordAttempt(end, service, key, chosen, response, err, end.Sub(now))
 		results <- attemptResult{placement: chosen, response: response, err: err, outcome: outcome}
@@ -170,10 +170,14 @@
 	return attemptResponded
 }
 
-// canceledByCaller reports whether an attempt ended with err because its caller left. caller ends when the caller leaves.
-func canceledByCaller(caller context.Context, route *fleet.Route, err error) bool {
-	if err == nil || errorx.IsOfType(err, upstream.ErrAbandoned) {
-		return err != nil
+// isCanceled reports whether an attempt ended with err because its caller left, or because its request was answered before
+// it was sent. caller ends when the caller leaves.
+func isCanceled(caller context.Context, route *fleet.Route, err error) bool {
+	if err == nil {
+		return false
+	}
+	if errorx.IsOfType(err, upstream.ErrAbandoned) {
+		return true
 	}
 	// An attempt of a non-idempotent request that has been sent does not end with its caller.
 	return route.Kind == fleet.Idempotent && errorx.IsOfType(err, upstream.ErrTimeout) && caller.Err() != nil
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -40,6 +40,14 @@
 	beforeServer bool
 }
 
+// detectedBy returns what detected the departure, for logs and metrics.
+func (d departure) detectedBy() string {
+	if d.beforeServer {
+		return "check"
+	}
+	return "server"
+}
+
 // callerWatch detects the departure of a request's caller and records how far the request was. It is safe for concurrent
 // use.
 type callerWatch struct {
@@ -114,12 +122,22 @@
 	if w.socket == nil {
 		return false
 	}
-	closed := false
+	var n int
+	var peekErr error
 	// Control is used instead of Read because Read waits for the server's own read of the connection.
 	err := w.socket.Control(func(fd uintptr) {
 		var buffer [1]byte
-		n, _, err := unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		closed = n == 0 && err == nil || err != nil && !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR)
+		n, _, peekErr = unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return err != nil || closed
+	switch {
+	case err != nil:
+		// The server has closed its end of the connection.
+		return true
+	case errors.Is(peekErr, unix.EAGAIN), errors.Is(peekErr, unix.EINTR):
+		return false
+	case peekErr != nil:
+		return true
+	default:
+		return n == 0
+	}
 }
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -151,14 +151,14 @@
 		name = j.route.Name
 	}
 	g.metrics.requestDone(name, response.code, elapsed)
-	departure, left := j.caller.departure()
+	departed, left := j.caller.departure()
 	if left {
-		g.metrics.departure(departure)
+		g.metrics.departure(departed)
 	}
 	text := "not served"
 	switch {
 	case left && response.code == result.OK:
-		text = "ended after its caller disconnected"
+		text, response.reason = "ended after its caller disconnected", "target completed the request"
 	case response.code == result.OK && j.sends <= 1:
 		return
 	case response.code == result.OK:
@@ -189,8 +189,8 @@
 	if response.targetResponse != nil {
 		fields = append(fields, logging.Status(response.targetResponse.Status))
 	}
-	if departure, left := j.caller.departure(); left {
-		fields = append(fields, logging.CallerLeft(departure.phase.String(), departure.at.Sub(j.arrived)))
+	if departed, left := j.caller.departure(); left {
+		fields = append(fields, logging.CallerLeft(departed.phase.String(), departed.detectedBy(), departed.at.Sub(j.arrived)))
 	}
 	if response.err != nil {
 		fields = append(fields, logging.ErrorType(response.err), logging.SystemError(response.err))
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -113,11 +113,7 @@
 
 // departure counts a request whose caller disconnected before its response.
 func (m *metrics) departure(d departure) {
-	detected := "server"
-	if d.beforeServer {
-		detected = "check"
-	}
-	m.count(counterKey{name: "departed_callers", label: "phase", value: d.phase.String(), label2: "detected", value2: detected})
+	m.count(counterKey{name: "departed_callers", label: "phase", value: d.phase.String(), label2: "detected", value2: d.detectedBy()})
 }
 
 func (m *metrics) retry(service string) {
--- a/internal/gateway/role.go
+++ b/internal/gateway/role.go
@@ -46,6 +46,9 @@
 	// housekeepingInterval is the time between two runs of the housekeeping, which drops the statistics of unused targets,
 	// logs changes of the readiness and updates the gauges.
 	housekeepingInterval = 500 * time.Millisecond
+	// stallThreshold is the delay of a timer from which the process counts as stalled. An unloaded VM wakes within a few
+	// milliseconds.
+	stallThreshold = 100 * time.Millisecond
 	// statsRetention is how long the statistics of an unused target are kept.
 	statsRetention = time.Minute
 )
@@ -198,21 +201,17 @@
 			g.log.Part(logging.Entry).Event("readiness changes", logging.State(strconv.FormatBool(ready)))
 		}
 		g.reportGauges()
-		asleep := g.clock.Now()
+		sleptAt := g.clock.Now()
 		sleep(ctx, housekeepingInterval)
-		g.reportStall(g.clock.Now().Sub(asleep) - housekeepingInterval)
+		g.reportStall(g.clock.Now().Sub(sleptAt) - housekeepingInterval)
 	}
 }
 
-// stallThreshold is the delay of a timer from which the process counts as stalled. An unloaded VM wakes within a few
-// milliseconds.
-const stallThreshold = 100 * time.Millisecond
-
 // reportStall records how late a timer fired, because the VM was suspended or had no free processor time.
 func (g *gateway) reportStall(delay time.Duration) {
 	g.metrics.wakeDelay.RecordDuration(max(0, delay))
 	if delay >= stallThreshold {
-		g.log.Part(logging.Entry).Event("process stalled", logging.Duration(delay))
+		g.log.Part(logging.Entry).Event("process stalled", logging.Duration(delay), logging.Threshold(stallThreshold))
 	}
 }
 
--- a/internal/logging/fields.go
+++ b/internal/logging/fields.go
@@ -44,6 +44,9 @@
 // Duration is a length of time in Go's notation, such as "1.5s".
 func Duration(length time.Duration) Field { return Field{"duration", length.String()} }
 
+// Threshold is the length of time that a measured one was compared with.
+func Threshold(length time.Duration) Field { return Field{"threshold", length.String()} }
+
 // Count is the number of items that the line is about.
 func Count(count int) Field { return Field{"count", count} }
 
@@ -130,10 +133,10 @@
 // RetryAfter is the delay after which a rejected caller was asked to retry, in milliseconds.
 func RetryAfter(time time.Duration) Field { return Field{"retry_after_ms", time.Milliseconds()} }
 
-// CallerLeft is the phase of a request when the VM noticed that its caller had disconnected, and the time from the
-// request's arrival to then, in milliseconds.
-func CallerLeft(phase string, after time.Duration) Field {
-	return Field{"caller_left", [2]any{phase, after.Milliseconds()}}
+// CallerLeft is the phase of a request when the VM noticed that its caller had disconnected, what noticed it, and the time
+// from the request's arrival to then, in milliseconds.
+func CallerLeft(phase, detectedBy string, after time.Duration) Field {
+	return Field{"caller_left", [3]any{phase, detectedBy, after.Milliseconds()}}
 }
 
 // State is a constant text that names a state.
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -284,20 +284,19 @@
 func (p *Picker) overduePenalty(now model.Instant, s *stats) float64 {
 	highest := 1.0
 	for _, ticket := range s.inFlight {
-		highest = max(highest, ticket.overdue(now))
+		if ratio := ticket.elapsedRatio(now); ratio > overdueRatio {
+			highest = max(highest, ratio)
+		}
 	}
 	return highest
 }
 
-// overdue returns the ratio of elapsed to expected time if it is above overdueRatio, and 1 otherwise.
-func (t *Ticket) overdue(now model.Instant) float64 {
+// elapsedRatio returns the ratio of elapsed to expected time, and 0 if no time is expected.
+func (t *Ticket) elapsedRatio(now model.Instant) float64 {
 	if t.expected <= 0 {
-		return 1
-	}
-	if ratio := float64(now.Sub(t.started)) / float64(t.expected); ratio > overdueRatio {
-		return ratio
+		return 0
 	}
-	return 1
+	return float64(now.Sub(t.started)) / float64(t.expected)
 }
 
 // Begin records that a request is sent to a target. The caller must pass the ticket to End.
@@ -327,10 +326,9 @@
 			break
 		}
 	}
-	if !result.Canceled {
-		p.recordOutcome(now, s, result.Failed)
-	} else if ticket.overdue(now) > 1 {
-		p.recordOutcome(now, s, true)
+	isOverdue := ticket.elapsedRatio(now) > overdueRatio
+	if !result.Canceled || isOverdue {
+		p.recordOutcome(now, s, result.Failed || result.Canceled)
 	}
 	if result.Report != nil {
 		p.recordReport(now, ticket.serviceZone, s, result.Report)
