--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"sync"
-	"syscall"
-
-	"golang.org/x/sys/unix"
 
+	"github.com/tarragonpoint/tarragonpoint/internal/callerconn"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
 )
 
@@ -51,9 +48,9 @@
 // callerWatch detects the departure of a request's caller and records how far the request was. It is safe for concurrent
 // use.
 type callerWatch struct {
-	now func() model.Instant
-	// socket is the caller's connection; nil if it cannot be inspected.
-	socket syscall.RawConn
+	// request is the context of the request, which ends when the HTTP server notices the departure.
+	request context.Context
+	now     func() model.Instant
 
 	mu       sync.Mutex
 	phase    requestPhase
@@ -61,23 +58,9 @@
 	departed departure
 }
 
-// callerSocketKey is the key of a caller's connection in the context of its requests.
-type callerSocketKey struct{}
-
-// withCallerSocket adds a caller's connection to the context of its requests.
-func withCallerSocket(ctx context.Context, socket net.Conn) context.Context {
-	if tcp, ok := socket.(syscall.Conn); ok {
-		if raw, err := tcp.SyscallConn(); err == nil {
-			return context.WithValue(ctx, callerSocketKey{}, raw)
-		}
-	}
-	return ctx
-}
-
 // watchCaller starts to watch the caller whose disconnection ends ctx. The returned function ends the watch.
 func watchCaller(ctx context.Context, now func() model.Instant) (*callerWatch, func()) {
-	w := &callerWatch{now: now, phase: phaseWaiting}
-	w.socket, _ = ctx.Value(callerSocketKey{}).(syscall.RawConn)
+	w := &callerWatch{request: ctx, now: now, phase: phaseWaiting}
 	stop := context.AfterFunc(ctx, func() { w.recordLeft(false) })
 	return w, func() { stop() }
 }
@@ -102,7 +85,7 @@
 
 // beforeSend returns errCallerLeft if the caller has left, and otherwise records that an attempt is sent.
 func (w *callerWatch) beforeSend() error {
-	if w.isClosed() {
+	if callerconn.IsClosed(w.request) {
 		w.recordLeft(true)
 		return errCallerLeft
 	}
@@ -115,29 +98,3 @@
 	defer w.mu.Unlock()
 	w.phase = max(w.phase, phase)
 }
-
-// isClosed reports whether the caller has closed its connection. It does not wait for the HTTP server to notice that,
-// which can take long on a VM without free processor time.
-func (w *callerWatch) isClosed() bool {
-	if w.socket == nil {
-		return false
-	}
-	var n int
-	var peekErr error
-	// Control is used instead of Read because Read waits for the server's own read of the connection.
-	err := w.socket.Control(func(fd uintptr) {
-		var buffer [1]byte
-		n, _, peekErr = unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	})
-	switch {
-	case err != nil:
-		// The server has closed its end of the connection.
-		return true
-	case errors.Is(peekErr, unix.EAGAIN), errors.Is(peekErr, unix.EINTR):
-		return false
-	case peekErr != nil:
-		return true
-	default:
-		return n == 0
-	}
-}
--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/tarragonpoint/tarragonpoint/internal/callerconn"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
 	"github.com/tarragonpoint/tarragonpoint/internal/picker"
 	"github.com/tarragonpoint/tarragonpoint/internal/standin/platformstub"
@@ -35,43 +36,6 @@
 	return dialed.(*net.TCPConn), accepted.(*net.TCPConn)
 }
 
-// Guards against an open connection that counts as closed, which would drop requests of callers that still wait.
-func TestClosedCallerConnectionIsDetected(t *testing.T) {
-	t.Parallel()
-	for name, end := range map[string]func(*net.TCPConn) error{
-		"close": (*net.TCPConn).Close,
-		"reset": func(c *net.TCPConn) error {
-			if err := c.SetLinger(0); err != nil {
-				return err
-			}
-			return c.Close()
-		},
-	} {
-		caller, server := callerConnection(t)
-		ctx, cancel := context.WithCancel(withCallerSocket(context.Background(), server))
-		t.Cleanup(cancel)
-		watch, stop := watchCaller(ctx, newClock().Now)
-		t.Cleanup(stop)
-		// The HTTP server reads the connection while a request is handled; the check must not wait for that.
-		reading := make(chan error, 1)
-		go func() {
-			_, err := server.Read(make([]byte, 1))
-			reading <- err
-		}()
-		assert.False(t, watch.isClosed(), name)
-		_, err := caller.Write([]byte("x"))
-		require.NoError(t, err)
-		require.NoError(t, <-reading)
-		_, err = caller.Write([]byte("next request"))
-		require.NoError(t, err)
-		assert.False(t, watch.isClosed(), name)
-		_, err = server.Read(make([]byte, 100))
-		require.NoError(t, err)
-		require.NoError(t, end(caller))
-		require.Eventually(t, watch.isClosed, settleTime, time.Millisecond, name)
-	}
-}
-
 // Guards against a departure whose record does not tell how far the request was, or what detected it.
 func TestDepartureRecordsPhase(t *testing.T) {
 	t.Parallel()
@@ -97,7 +61,7 @@
 func TestDepartureIsDetectedBeforeTheServerNotices(t *testing.T) {
 	t.Parallel()
 	caller, server := callerConnection(t)
-	watch, stop := watchCaller(withCallerSocket(context.Background(), server), newClock().Now)
+	watch, stop := watchCaller(callerconn.WithConn(context.Background(), server), newClock().Now)
 	defer stop()
 	require.NoError(t, watch.beforeSend())
 	require.NoError(t, caller.Close())
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/tarragonpoint/tarragonpoint/internal/callerconn"
 	"github.com/tarragonpoint/tarragonpoint/internal/logging"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
 	"github.com/tarragonpoint/tarragonpoint/internal/result"
@@ -208,7 +209,7 @@
 func (g *gateway) newServer() *http.Server {
 	return &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: serverHeaderLimit,
-		ConnContext: withCallerSocket, ErrorLog: nil,
+		ConnContext: callerconn.WithConn, ErrorLog: nil,
 	}
 }
 
