Drop unsent requests of the entry role when their caller leaves

What callers saw: nothing, as they had left; their non-idempotent requests ran all the same, up to the deadline later.

A forwarded one was not withdrawn at all, although the message CancelForward is documented to end what has not been sent. And no attempt was checked against the caller's connection before it was sent.

Evidence, before the fix: TestRequestAtGateEndsWithItsCaller (a request whose caller left at 1 s was sent when its gate opened; also when forwarded, with the lessor's part of the fix undone), TestRequestWithoutConnectionEndsWithItsCaller and TestRequestOfClosedCallerConnectionIsNotSent failed. TestDepartureOfCallerIsDetected fails without the connection in the context.

Now each attempt also has the context of its caller (wanted) until it is sent: the gate and the wait for a connection end with it, and the target's client checks it and the caller's connection immediately before the first byte. The attempt ends as not run, so that its ID is free again. For a forwarded request of either kind the entry VM sends CancelForward; the lessor cancels an idempotent one, and a non-idempotent one only until it is sent.

TestCallerDisconnect required that no CancelForward be sent for non-idempotent requests. That message is now sent for both, so the requirement that a sent one completes is held at the lessor, for both kinds: TestSentForwardIsCanceledIfIdempotent.

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -50,3 +50,13 @@
 		return n == 0
 	}
 }
+
+// UntilLeft returns a context that ends with ctx or when the context of the caller's request ends, whichever is first.
+func UntilLeft(ctx, caller context.Context) (context.Context, context.CancelFunc) {
+	waiting, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(caller, cancel)
+	return waiting, func() {
+		stop()
+		cancel()
+	}
+}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -15,8 +15,11 @@
 	"github.com/tarragonpoint/tarragonpoint/internal/target"
 )
 
-// attempt runs one attempt on the path that the plan selects.
-func (d *Dispatcher) attempt(ctx context.Context, request *Request, p plan, deadline model.Instant) message.ForwardReply {
+// attempt runs one attempt on the path that the plan selects. It ends with wanted until it is sent to its target, and with
+// ctx or at the deadline after that.
+func (d *Dispatcher) attempt(
+	ctx, wanted context.Context, request *Request, p plan, deadline model.Instant,
+) message.ForwardReply {
 	started := d.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, deadline.Sub(started))
 	defer cancel()
@@ -25,11 +28,11 @@
 	var path Path
 	switch p.lessor {
 	case "":
-		reply, path = d.sendDirect(ctx, f, p), PathDirect
+		reply, path = d.sendDirect(ctx, wanted, f, p), PathDirect
 	case d.current.Load().table.VM:
-		reply, path = d.serve(ctx, f), PathLessor
+		reply, path = d.serve(ctx, wanted, f), PathLessor
 	default:
-		reply, path = d.forward(ctx, f, p), PathForward
+		reply, path = d.forward(ctx, wanted, f, p), PathForward
 	}
 	d.Observer.Attempt(request.Service, path, reply.Code, d.Clock.Now().Sub(started))
 	return reply
@@ -57,8 +60,8 @@
 }
 
 // sendDirect sends an idempotent request to a warm target that checks fences.
-func (d *Dispatcher) sendDirect(ctx context.Context, f *message.Forward, p plan) message.ForwardReply {
-	return d.send(ctx, f, p.target, p.class, nil)
+func (d *Dispatcher) sendDirect(ctx, wanted context.Context, f *message.Forward, p plan) message.ForwardReply {
+	return d.send(ctx, wanted, f, p.target, p.class, nil)
 }
 
 // lessorFields are the fields of a target's request that only the lessor sets.
@@ -69,7 +72,9 @@
 
 // send sends one attempt to a target and classifies the result. It checks the home regions against the newest table
 // right before the send. lessor is nil for a direct send.
-func (d *Dispatcher) send(ctx context.Context, f *message.Forward, t *route.Target, class model.Class, lessor *lessorFields) message.ForwardReply {
+func (d *Dispatcher) send(
+	ctx, wanted context.Context, f *message.Forward, t *route.Target, class model.Class, lessor *lessorFields,
+) message.ForwardReply {
 	table := d.current.Load().table
 	if !mayServe(table, f.Tenant, class, table.Region) || !mayServe(table, f.Tenant, class, t.Region) {
 		return codeReply(f.Attempt, result.OwnerUnavailable)
@@ -79,12 +84,13 @@
 	if end, bounded := ctx.Deadline(); bounded {
 		timeout = min(timeout, time.Until(end))
 	}
-	if timeout <= 0 || ctx.Err() != nil {
+	if timeout <= 0 || ctx.Err() != nil || wanted.Err() != nil {
 		return codeReply(f.Attempt, result.DeadlinePassed)
 	}
 	request := target.Request{
 		Attempt: f.Attempt, Method: f.Method, Path: f.Path, Header: http.Header(f.Header), Body: f.Body,
-		Slot: f.Slot, KeyHash: f.KeyHash, Fence: f.Fence, Timeout: timeout, NoCancel: !f.Idempotent,
+		Slot: f.Slot, KeyHash: f.KeyHash, Fence: f.Fence, Timeout: timeout, Wanted: wanted,
+		NoCancel: !f.Idempotent,
 	}
 	if lessor != nil {
 		request.Term = &lessor.term
@@ -123,7 +129,7 @@
 }
 
 // forward sends a request to the lessor of its target and waits for the reply.
-func (d *Dispatcher) forward(ctx context.Context, f *message.Forward, p plan) message.ForwardReply {
+func (d *Dispatcher) forward(ctx, wanted context.Context, f *message.Forward, p plan) message.ForwardReply {
 	table := d.current.Load().table
 	peerRegion := table.PeerRegions[p.lessor]
 	allowed := mayServe(table, f.Tenant, p.class, peerRegion) && mayServe(table, f.Tenant, p.class, p.target.Region)
@@ -138,20 +144,24 @@
 	if err := d.Sender.Send(p.lessor, message.Message{Forward: f}); err != nil {
 		return codeReply(f.Attempt, result.PeerUnavailable)
 	}
-	select {
-	case reply := <-replies:
-		return reply
-	case <-ctx.Done():
-		d.cancelForward(f, p.lessor)
-		return codeReply(f.Attempt, result.DeadlineMissed)
+	for left := wanted.Done(); ; {
+		select {
+		case reply := <-replies:
+			return reply
+		case <-left:
+			d.cancelForward(f, p.lessor)
+			left = nil
+		case <-ctx.Done():
+			if left != nil {
+				d.cancelForward(f, p.lessor)
+			}
+			return codeReply(f.Attempt, result.DeadlineMissed)
+		}
 	}
 }
 
-// cancelForward notifies the lessor that no caller waits for an idempotent request any more. If the message is lost,
-// the target only does unneeded work.
+// cancelForward notifies the lessor that no caller waits for a request any more. If the message is lost, the target only
+// does unneeded work. A non-idempotent request that has been sent to its target is not canceled by it.
 func (d *Dispatcher) cancelForward(f *message.Forward, lessor model.VMID) {
-	if !f.Idempotent {
-		return
-	}
 	_ = d.Sender.Send(lessor, message.Message{CancelForward: &message.CancelForward{Attempt: f.Attempt}})
 }
--- a/internal/dispatch/cancel_test.go
+++ b/internal/dispatch/cancel_test.go
@@ -63,8 +63,8 @@
 	})
 }
 
-// When a caller disconnects, its idempotent attempts must be canceled immediately, including forwarded ones.
-// Non-idempotent attempts must run to completion.
+// When a caller disconnects, its idempotent attempts must be canceled immediately, and the lessor must be told about
+// forwarded ones. Non-idempotent attempts that have been sent must run to completion.
 func TestCallerDisconnect(t *testing.T) {
 	for _, lessor := range []model.VMID{self, other} {
 		for _, idempotent := range []bool{true, false} {
@@ -90,12 +90,70 @@
 					return
 				}
 				last := r.sender.sent[len(r.sender.sent)-1]
-				require.Equal(t, idempotent, last.CancelForward != nil)
+				require.NotNil(t, last.CancelForward)
 			})
 		}
 	}
 }
 
+// Guards against a non-idempotent request that is sent after its caller left, because it waited at its target's gate in the
+// meantime.
+func TestRequestAtGateEndsWithItsCaller(t *testing.T) {
+	for name, handle := range map[string]func(r *rig, caller context.Context){
+		"received": func(r *rig, caller context.Context) { r.Handle(caller, r.request(keyed, false)) },
+		"forwarded": func(r *rig, caller context.Context) {
+			f := r.forwarded(false)
+			r.OnMessage(other, message.Message{Forward: f})
+			<-caller.Done()
+			r.OnMessage(other, message.Message{CancelForward: &message.CancelForward{Attempt: f.Attempt}})
+		},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig(t, nil)
+			lease := r.lease(9, 0)
+			setLimit := func(limit int) {
+				lease.Limit = limit
+				table := r.newTable(self)
+				table.Leases["review-1"] = lease
+				r.SetTable(table)
+			}
+			setLimit(0)
+			caller, disconnect := context.WithCancel(ctx)
+			time.AfterFunc(time.Second, disconnect)
+			handle(r, caller)
+			setLimit(4)
+			require.NoError(t, r.Stop(ctx))
+			require.Zero(t, r.client.count(), name)
+		})
+	}
+}
+
+// Guards against a non-idempotent forwarded request that is canceled at its target because its caller left, and against an
+// idempotent one that is not.
+func TestSentForwardIsCanceledIfIdempotent(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig(t, nil)
+			r.client.do = func(ctx context.Context, _ target.Address, _ target.Request, _ int) (target.Response, error) {
+				select {
+				case <-ctx.Done():
+					return target.Response{}, target.ErrTimeout.New("canceled")
+				case <-time.After(time.Second):
+					return target.Response{Status: 201}, nil
+				}
+			}
+			r.SetTable(r.newTable(self))
+			f := r.forwarded(idempotent)
+			r.OnMessage(other, message.Message{Forward: f})
+			time.Sleep(time.Second / 2)
+			r.OnMessage(other, message.Message{CancelForward: &message.CancelForward{Attempt: f.Attempt}})
+			require.NoError(t, r.Stop(ctx))
+			last := r.sender.sent[len(r.sender.sent)-1]
+			require.Equal(t, !idempotent, last.ForwardReply.Outcome == result.Ran)
+		})
+	}
+}
+
 // singleEntryQuarantine is a quarantine that admits one request at a time, as for a fingerprint with one strike.
 type singleEntryQuarantine struct {
 	noQuarantine
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -231,7 +231,7 @@
 		f := &message.Forward{Tenant: tenant, Timeout: time.Second}
 		outside := *review
 		outside.Region = "mass-central"
-		require.Equal(t, result.NotRun, r.send(ctx, f, &outside, home.Class, nil).Outcome)
+		require.Equal(t, result.NotRun, r.send(ctx, ctx, f, &outside, home.Class, nil).Outcome)
 		require.Zero(t, r.client.count())
 	})
 }
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -156,3 +156,12 @@
 	}
 	return request
 }
+
+// forwarded returns a request that other forwards to self as the lessor.
+func (r *rig) forwarded(idempotent bool) *message.Forward {
+	request := r.request(keyed, idempotent)
+	return &message.Forward{
+		Attempt: "x", Tenant: tenant, Service: keyed, Target: "review-1", Slot: &keySlot, KeyHash: 11, Fence: 9,
+		RequestID: request.RequestID, Idempotent: idempotent, ReceivedMillis: request.Received.UnixMilli(), Timeout: 3 * time.Second,
+	}
+}
--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -16,7 +16,7 @@
 	gateFull
 	// gateLeaseLost means that this VM is no longer the lessor.
 	gateLeaseLost
-	// gateTimeout means that the deadline passed while the request was queued.
+	// gateTimeout means that the deadline passed or the caller left while the request was queued.
 	gateTimeout
 )
 
--- a/internal/dispatch/lessor.go
+++ b/internal/dispatch/lessor.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/tarragonpoint/tarragonpoint/internal/callerconn"
 	"github.com/tarragonpoint/tarragonpoint/internal/dedup"
 	"github.com/tarragonpoint/tarragonpoint/internal/message"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
@@ -20,16 +21,16 @@
 }
 
 // serve runs a request as the lessor of its target. It never forwards. ctx ends at the deadline or when an idempotent
-// request is canceled.
-func (d *Dispatcher) serve(ctx context.Context, f *message.Forward) message.ForwardReply {
+// request is canceled; wanted ends also when the caller of a non-idempotent request leaves.
+func (d *Dispatcher) serve(ctx, wanted context.Context, f *message.Forward) message.ForwardReply {
 	h, code := d.checkLease(f)
 	if code != result.OK {
 		return codeReply(f.Attempt, code)
 	}
 	if f.Idempotent {
-		return d.gateAndSend(ctx, f, h)
+		return d.gateAndSend(ctx, wanted, f, h)
 	}
-	return d.serveOnce(ctx, f, h)
+	return d.serveOnce(ctx, wanted, f, h)
 }
 
 // checkLease checks against the newest table that this VM may send the request now, and returns the lease that allows
@@ -68,12 +69,12 @@
 }
 
 // serveOnce runs a non-idempotent request at most once.
-func (d *Dispatcher) serveOnce(ctx context.Context, f *message.Forward, h heldLease) message.ForwardReply {
+func (d *Dispatcher) serveOnce(ctx, wanted context.Context, f *message.Forward, h heldLease) message.ForwardReply {
 	for {
 		admission := d.Dedup.Admit(d.Clock.Wall(), *f.Slot, f.Fence, *f.RequestID, f.ReceivedMillis)
 		switch admission.Decision {
 		case dedup.Run:
-			return d.runAdmitted(ctx, f, h)
+			return d.runAdmitted(ctx, wanted, f, h)
 		case dedup.Wait:
 			select {
 			case <-admission.Done:
@@ -112,8 +113,8 @@
 }
 
 // runAdmitted sends an admitted request and records its outcome in the at-most-once table.
-func (d *Dispatcher) runAdmitted(ctx context.Context, f *message.Forward, h heldLease) message.ForwardReply {
-	reply := d.gateAndSend(ctx, f, h)
+func (d *Dispatcher) runAdmitted(ctx, wanted context.Context, f *message.Forward, h heldLease) message.ForwardReply {
+	reply := d.gateAndSend(ctx, wanted, f, h)
 	switch reply.Outcome {
 	case result.Ran:
 		d.Dedup.Finish(*f.RequestID, reply)
@@ -126,9 +127,11 @@
 }
 
 // gateAndSend waits at the target's gate and sends the request if the lease is still the one that h describes.
-func (d *Dispatcher) gateAndSend(ctx context.Context, f *message.Forward, h heldLease) message.ForwardReply {
+func (d *Dispatcher) gateAndSend(ctx, wanted context.Context, f *message.Forward, h heldLease) message.ForwardReply {
 	targetGate := d.gates.of(f.Target)
-	switch targetGate.acquire(ctx.Done()) {
+	waiting, stop := callerconn.UntilLeft(ctx, wanted)
+	defer stop()
+	switch targetGate.acquire(waiting.Done()) {
 	case gateFull:
 		return codeReply(f.Attempt, result.Overloaded)
 	case gateLeaseLost:
@@ -146,7 +149,7 @@
 	if current.lease.Term != h.lease.Term || current.slot.Since != h.slot.Since || current.class != h.class {
 		return codeReply(f.Attempt, result.OwnerUnavailable)
 	}
-	reply := d.send(ctx, f, current.target, current.class, &lessorFields{term: current.lease.Term, notAfter: current.lease.ValidUntil})
+	reply := d.send(ctx, wanted, f, current.target, current.class, &lessorFields{term: current.lease.Term, notAfter: current.lease.ValidUntil})
 	if reply.Code == result.DeadlineMissed && d.isCold(current.target) {
 		// The target continues to run the attempt until the cancellation arrives.
 		release = func() { time.AfterFunc(lateReleaseDelay, targetGate.release) }
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -40,24 +40,27 @@
 		return
 	}
 	ctx, cancel := context.WithTimeout(d.base, f.Timeout)
+	wanted, abandon := context.WithCancel(ctx)
 	key := runningKey{from: from, attempt: f.Attempt}
 	cancelable := cancel
 	if !f.Idempotent {
-		cancelable = nil
+		cancelable = abandon
 	}
 	if !d.running.add(key, cancelable) {
+		abandon()
 		cancel()
 		d.lifecycle.leave()
 		return
 	}
 	end := func() {
 		d.running.end(key)
+		abandon()
 		cancel()
 		d.lifecycle.leave()
 	}
 	queued := d.pool.submit(func() {
 		defer end()
-		d.reply(from, d.serveForwarded(ctx, from, f))
+		d.reply(from, d.serveForwarded(ctx, wanted, from, f))
 	})
 	if !queued {
 		end()
@@ -67,7 +70,9 @@
 
 // serveForwarded runs a forwarded request. It rejects a request that the tenant's home regions don't allow in the
 // sender's region, and one that is quarantined here.
-func (d *Dispatcher) serveForwarded(ctx context.Context, from model.VMID, f *message.Forward) message.ForwardReply {
+func (d *Dispatcher) serveForwarded(
+	ctx, wanted context.Context, from model.VMID, f *message.Forward,
+) message.ForwardReply {
 	table := d.current.Load().table
 	tenant := table.Tenants[f.Tenant]
 	if tenant == nil || !mayServe(table, f.Tenant, tenant.Class, table.PeerRegions[from]) {
@@ -79,7 +84,7 @@
 		return codeReply(f.Attempt, result.Quarantined)
 	}
 	defer leave()
-	return d.serve(ctx, f)
+	return d.serve(ctx, wanted, f)
 }
 
 // onCloseID replies to a query for the outcome of an ID. It needs no worker, because it takes only the locks of the
--- a/internal/dispatch/race.go
+++ b/internal/dispatch/race.go
@@ -79,8 +79,10 @@
 	return r.e.d.unresponsiveTimeout(r.e.request.Service)
 }
 
-// launch starts one attempt. An attempt of a non-idempotent request is not canceled when its caller disconnects.
+// launch starts one attempt. An attempt of a non-idempotent request that has been sent is not canceled when its caller
+// disconnects.
 func (r *race) launch(ctx context.Context, p plan) {
+	wanted := ctx
 	if !r.e.request.Idempotent {
 		ctx = r.e.d.base
 	}
@@ -93,7 +95,7 @@
 	go func() {
 		defer d.lifecycle.leave()
 		defer quarantine.release()
-		r.results <- d.attempt(ctx, &request, p, deadline)
+		r.results <- d.attempt(ctx, wanted, &request, p, deadline)
 	}()
 }
 
--- a/internal/dispatch/running.go
+++ b/internal/dispatch/running.go
@@ -12,7 +12,8 @@
 // runningForwards holds the forwarded requests that this VM runs, and those that ended last, by attempt.
 type runningForwards struct {
 	mu sync.Mutex
-	// byKey holds the function that cancels an attempt; nil for one that must not be canceled or has ended.
+	// byKey holds the function that cancels an attempt, or one that has not been sent if it is not idempotent; nil for one
+	// that has ended.
 	byKey map[runningKey]context.CancelFunc
 	// ended is a ring buffer of the ended attempts. When it is full, next is the index of the oldest.
 	ended []runningKey
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -14,6 +14,7 @@
 	"github.com/joomcode/errorx"
 	"golang.org/x/sync/semaphore"
 
+	"github.com/tarragonpoint/tarragonpoint/internal/callerconn"
 	"github.com/tarragonpoint/tarragonpoint/internal/kernel"
 	"github.com/tarragonpoint/tarragonpoint/internal/result"
 )
@@ -94,6 +95,7 @@
 		ReadHeaderTimeout: f.settings.ReadHeaderTimeout,
 		IdleTimeout:       f.settings.IdleTimeout,
 		MaxHeaderBytes:    headerSlack * f.settings.MaxHeaderBytes,
+		ConnContext:       callerconn.WithConn,
 		// Discarded because net/http quotes received data in its log lines.
 		ErrorLog: log.New(io.Discard, "", 0),
 	}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -14,9 +14,11 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
+	"github.com/tarragonpoint/tarragonpoint/internal/callerconn"
 	"github.com/tarragonpoint/tarragonpoint/internal/dispatch"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
 	"github.com/tarragonpoint/tarragonpoint/internal/result"
@@ -31,6 +33,8 @@
 type stub struct {
 	precheck func(dispatch.Preview) *dispatch.Response
 	handle   func(dispatch.Request) dispatch.Response
+	// context gets the context of each request before it is handled; nil for a test that needs none.
+	context func(context.Context)
 }
 
 func (s stub) Precheck(_ context.Context, preview dispatch.Preview) *dispatch.Response {
@@ -42,7 +46,10 @@
 
 func (stub) Timeout(model.Service) time.Duration { return testTimeout }
 
-func (s stub) Handle(_ context.Context, request dispatch.Request) dispatch.Response {
+func (s stub) Handle(ctx context.Context, request dispatch.Request) dispatch.Response {
+	if s.context != nil {
+		s.context(ctx)
+	}
 	return s.handle(request)
 }
 
@@ -207,6 +214,21 @@
 	require.Error(t, err)
 }
 
+// Guards against a request whose caller's connection cannot be checked before it is sent to a target.
+func TestDepartureOfCallerIsDetected(t *testing.T) {
+	caller, detected := make(chan net.Conn, 1), make(chan bool, 1)
+	f := startFront(t, stub{handle: echo, context: func(ctx context.Context) {
+		wasOpen := !callerconn.IsClosed(ctx)
+		_ = (<-caller).Close()
+		isClosed := func() bool { return callerconn.IsClosed(ctx) }
+		detected <- wasOpen && assert.Eventually(t, isClosed, testTimeout, time.Millisecond)
+	}}, nil)
+	conn, _ := connect(t, f)
+	send(t, conn, "GET /v1/alert-desk/x")
+	caller <- conn
+	require.True(t, <-detected)
+}
+
 // A panic in the request path must neither end the process nor report that the request did not run.
 func TestPanicReturnsUnknownOutcome(t *testing.T) {
 	f := startFront(t, stub{handle: func(dispatch.Request) dispatch.Response { panic("fault") }}, nil)
--- a/internal/front/listener.go
+++ b/internal/front/listener.go
@@ -1,8 +1,10 @@
 package front
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 )
 
 // limitedListener accepts a connection only while fewer than the limit are open. Further connections wait in the
@@ -46,6 +48,15 @@
 	once    sync.Once
 }
 
+// SyscallConn returns the raw connection, by which the disconnection of the caller is detected.
+func (c *limitedConn) SyscallConn() (syscall.RawConn, error) {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return socket.SyscallConn()
+}
+
 // Close closes the connection, which then no longer counts toward the limit.
 func (c *limitedConn) Close() error {
 	err := c.Conn.Close()
--- a/internal/target/http.go
+++ b/internal/target/http.go
@@ -10,6 +10,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/tarragonpoint/tarragonpoint/internal/callerconn"
 	"github.com/tarragonpoint/tarragonpoint/internal/kernel"
 )
 
@@ -81,8 +82,12 @@
 	if err != nil {
 		return Response{}, err
 	}
+	wanted := attempt.Wanted
+	if wanted == nil {
+		wanted = ctx
+	}
 	matches := func(received rawResponse) bool { return received.header.Get(HeaderAttempt) == attempt.Attempt }
-	received, err := c.send(ctx, purposeRequest, address, request, false, matches)
+	received, err := c.send(ctx, wanted, purposeRequest, address, request, false, matches)
 	if err != nil {
 		if errorx.IsOfType(err, ErrTimeout) && !attempt.NoCancel {
 			c.cancelAttempt(address, attempt.Attempt)
@@ -116,9 +121,9 @@
 }
 
 // send runs one exchange on a connection for the given purpose. The connection is returned to the pool only after a
-// complete response that matches.
+// complete response that matches, or unused if wanted has ended.
 func (c *HTTPClient) send(
-	ctx context.Context, purpose connPurpose, address Address, request *http.Request, fresh bool,
+	ctx, wanted context.Context, purpose connPurpose, address Address, request *http.Request, fresh bool,
 	matches func(rawResponse) bool,
 ) (rawResponse, error) {
 	encoded, err := encode(request)
@@ -129,9 +134,9 @@
 	if err != nil {
 		return rawResponse{}, err
 	}
-	conn, err := connections.get(ctx, c.dial(), address, orDefault(c.IdleTimeout, defaultIdleTimeout), fresh)
+	conn, err := c.connect(ctx, wanted, connections, address, fresh)
 	if err != nil {
-		return rawResponse{}, ErrNotSent.Wrap(err, "no connection to target %s", address)
+		return rawResponse{}, err
 	}
 	received, err := exchange(ctx, conn, request, encoded, orDefault(c.MaxBody, defaultMaxBody))
 	if err != nil {
@@ -146,6 +151,23 @@
 	return received, nil
 }
 
+// connect returns a connection for a request that is still wanted.
+func (c *HTTPClient) connect(
+	ctx, wanted context.Context, connections *pool, address Address, fresh bool,
+) (*connection, error) {
+	waiting, stop := callerconn.UntilLeft(ctx, wanted)
+	defer stop()
+	conn, err := connections.get(waiting, c.dial(), address, orDefault(c.IdleTimeout, defaultIdleTimeout), fresh)
+	if err != nil {
+		return nil, ErrNotSent.Wrap(err, "no connection to target %s", address)
+	}
+	if wanted.Err() != nil || callerconn.IsClosed(wanted) {
+		connections.put(conn, true)
+		return nil, ErrNotSent.New("caller has left")
+	}
+	return conn, nil
+}
+
 // postJSON sends a call of the lease protocol and decodes its response. It returns ErrBroken for a status other than
 // 200 and for a malformed response.
 func (c *HTTPClient) postJSON(
@@ -162,7 +184,7 @@
 	request.Header.Set("Content-Type", "application/json")
 	// An empty value prevents net/http from adding its default User-Agent, 32 bytes in each renewal.
 	request.Header.Set("User-Agent", "")
-	received, err := c.send(ctx, purpose, address, request, fresh, func(rawResponse) bool { return true })
+	received, err := c.send(ctx, ctx, purpose, address, request, fresh, func(rawResponse) bool { return true })
 	if err != nil {
 		return err
 	}
--- a/internal/target/http_test.go
+++ b/internal/target/http_test.go
@@ -15,6 +15,8 @@
 
 	"github.com/joomcode/errorx"
 	"github.com/stretchr/testify/require"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/callerconn"
 )
 
 // rawTarget is a target that passes each request to a respond function, which returns the bytes to send. nil closes the
@@ -179,6 +181,52 @@
 	require.True(t, errorx.IsOfType(err, ErrNotSent), "%v", err)
 }
 
+// Guards against a non-idempotent request that is sent after its caller left, because it waited for a connection in the
+// meantime.
+func TestRequestWithoutConnectionEndsWithItsCaller(t *testing.T) {
+	raw := startRawTarget(t, func(_ int64, request *http.Request) []byte { return echo(request, "ok") })
+	wanted, leave := context.WithCancel(context.Background())
+	client := &HTTPClient{Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		leave()
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}}
+	request := Request{Attempt: "a", Method: http.MethodPost, Path: "/x", Timeout: 10 * time.Second, Wanted: wanted, NoCancel: true}
+	_, err := client.Do(context.Background(), raw.address, request)
+	require.True(t, errorx.IsOfType(err, ErrNotSent), "%v", err)
+	client.Dial = nil
+	_, err = client.Do(context.Background(), raw.address, request)
+	require.True(t, errorx.IsOfType(err, ErrNotSent), "%v", err)
+	require.Zero(t, raw.requests.Load())
+}
+
+// Guards against a request that is sent although its caller has closed its connection, because the HTTP server has not
+// noticed that yet, and against closing the unused connection to the target.
+func TestRequestOfClosedCallerConnectionIsNotSent(t *testing.T) {
+	raw := startRawTarget(t, func(_ int64, request *http.Request) []byte { return echo(request, "ok") })
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	accepted, err := listener.Accept()
+	require.NoError(t, err)
+	defer func() { _ = accepted.Close() }()
+	wanted := callerconn.WithConn(context.Background(), accepted)
+	client := &HTTPClient{}
+	request := Request{Attempt: "a", Method: http.MethodPost, Path: "/x", Timeout: 10 * time.Second, Wanted: wanted, NoCancel: true}
+	_, err = client.Do(context.Background(), raw.address, request)
+	require.NoError(t, err)
+	require.NoError(t, caller.Close())
+	require.Eventually(t, func() bool { return callerconn.IsClosed(wanted) }, 10*time.Second, time.Millisecond)
+	_, err = client.Do(context.Background(), raw.address, request)
+	require.True(t, errorx.IsOfType(err, ErrNotSent), "%v", err)
+	_, err = do(client, raw.address, http.MethodPost, "a")
+	require.NoError(t, err)
+	require.Equal(t, int64(2), raw.requests.Load())
+	require.Equal(t, int64(1), raw.connections.Load())
+}
+
 // Guards against callers that reach the paths of the lease protocol or set its headers.
 func TestCallersCannotUseTheLeaseProtocol(t *testing.T) {
 	for _, path := range []string{"/tarragon/v1/renew", "//tarragon/v1/renew", "/a/../Tarragon/v1/revoke", "/%74arragon/v1/cancel", "x", "http://h/"} {
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -168,6 +168,9 @@
 	NotAfter model.Instant
 	// Timeout is the time left until the caller's deadline.
 	Timeout time.Duration
+	// Wanted ends when nobody waits for the request any more; nil if that is not known. Until the request is sent, Do then
+	// returns ErrNotSent. A caller's connection in it is checked immediately before the request is sent.
+	Wanted context.Context
 	// NoCancel is set for a non-idempotent request. Such a request must not be aborted partway when its caller
 	// disconnects or its deadline passes.
 	NoCancel bool
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/callerconn"
 )
 
 const (
@@ -110,11 +112,9 @@
 		return nil, ErrNotConnected.New("connection %d to %s is closed or in use", request.ConnectionID, address)
 	}
 	if request.Wanted != nil {
-		wanted, cancel := context.WithCancel(ctx)
-		defer cancel()
-		stop := context.AfterFunc(request.Wanted, cancel)
+		waiting, stop := callerconn.UntilLeft(ctx, request.Wanted)
 		defer stop()
-		ctx = wanted
+		ctx = waiting
 	}
 	c, err := p.open(ctx, address)
 	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
