Answer requests that have arrived before a stopping VM closes idle connections

What callers saw: a request sent on a kept connection to a VM that stops got no answer; its connection was reset.

Cause: http.Server.Shutdown takes a connection as idle until the header of its next request has been read. Ruled out: rejection by the drain itself, which answers with Connection: close.

Now a Tracker in internal/callerconn closes idle connections itself, except those on which bytes have arrived (peeked from the socket, or read since the connection became idle); it waits until they have become active and only then calls Shutdown. Both roles use it. What remains is a request that is on its way when the connection is closed, as with any HTTP server.

--- /dev/null
+++ b/internal/callerconn/tracker.go
@@ -0,0 +1,106 @@
+package callerconn
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// readInterval is the time between two checks whether the server has read the requests that have arrived.
+const readInterval = 10 * time.Millisecond
+
+// Tracker tracks the idle connections of an HTTP server that serves its listener and reports connection states to it. The
+// zero value is ready for use.
+type Tracker struct {
+	mu   sync.Mutex
+	idle map[*trackedConn]struct{}
+}
+
+// Listener returns a listener whose connections are tracked.
+func (t *Tracker) Listener(inner net.Listener) net.Listener { return &trackedListener{Listener: inner} }
+
+// Track records the state of a connection. It fits http.Server.ConnState.
+func (t *Tracker) Track(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*trackedConn)
+	if !ok {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if state != http.StateIdle {
+		delete(t.idle, c)
+		return
+	}
+	if t.idle == nil {
+		t.idle = map[*trackedConn]struct{}{}
+	}
+	c.hasRead.Store(false)
+	t.idle[c] = struct{}{}
+}
+
+// Shutdown shuts down the server like http.Server.Shutdown, but does not close an idle connection on which a request has
+// arrived: it waits until the server has read the request's header or ctx ends.
+func (t *Tracker) Shutdown(ctx context.Context, server *http.Server) error {
+	ticker := time.NewTicker(readInterval)
+	defer ticker.Stop()
+	for !t.closeUnused() && ctx.Err() == nil {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+	return server.Shutdown(ctx)
+}
+
+// closeUnused closes the idle connections on which no request has arrived. It returns true if there are no others.
+func (t *Tracker) closeUnused() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.idle {
+		// The bytes of a request are unread until hasRead is set.
+		if raw := rawConn(c); (raw == nil || !hasUnread(raw)) && !c.hasRead.Load() {
+			_ = c.Close()
+			delete(t.idle, c)
+		}
+	}
+	return len(t.idle) == 0
+}
+
+type trackedListener struct{ net.Listener }
+
+func (l *trackedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &trackedConn{Conn: conn}, nil
+}
+
+// trackedConn records whether bytes have been read since the connection became idle. http.StateActive comes only after
+// the header of a request has been read.
+type trackedConn struct {
+	net.Conn
+	hasRead atomic.Bool
+}
+
+func (c *trackedConn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	if n > 0 {
+		c.hasRead.Store(true)
+	}
+	return n, err
+}
+
+// SyscallConn returns the raw connection.
+func (c *trackedConn) SyscallConn() (syscall.RawConn, error) {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return socket.SyscallConn()
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -40,9 +40,10 @@
 
 // endpoint is a listener and the HTTP server that uses it.
 type endpoint struct {
-	listener net.Listener
-	server   *http.Server
-	running  sync.WaitGroup
+	listener    net.Listener
+	server      *http.Server
+	connections callerconn.Tracker
+	running     sync.WaitGroup
 }
 
 // New returns a front for use without a kernel host. It returns ErrSettings if the settings are invalid.
@@ -173,14 +174,15 @@
 func (e *endpoint) start(listener net.Listener, server *http.Server) {
 	e.listener = listener
 	e.server = server
-	e.running.Go(func() { server.Serve(listener) })
+	server.ConnState = e.connections.Track
+	e.running.Go(func() { server.Serve(e.connections.Listener(listener)) })
 }
 
 func (e *endpoint) stop(ctx context.Context) error {
 	if e.server == nil {
 		return nil
 	}
-	err := e.server.Shutdown(ctx)
+	err := e.connections.Shutdown(ctx, e.server)
 	if err != nil {
 		e.server.Close()
 		err = ErrDrain.Wrap(err, "requests were still running")
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -209,7 +209,7 @@
 func (g *gateway) newServer() *http.Server {
 	return &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: serverHeaderLimit,
-		ConnContext: callerconn.WithConn, ErrorLog: nil,
+		ConnContext: callerconn.WithConn, ConnState: g.connections.Track, ErrorLog: nil,
 	}
 }
 
--- a/internal/gateway/role.go
+++ b/internal/gateway/role.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -19,6 +20,7 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"github.com/tarragonpoint/tarragonpoint/internal/callerconn"
 	"github.com/tarragonpoint/tarragonpoint/internal/hub"
 	"github.com/tarragonpoint/tarragonpoint/internal/keyspace"
 	"github.com/tarragonpoint/tarragonpoint/internal/logging"
@@ -81,6 +83,8 @@
 	cold      *coldLimiter
 	deadlines *deadlineTracker
 	draining  atomic.Bool
+	// connections are the connections of callers.
+	connections callerconn.Tracker
 	// requestsContext ends when the last open requests must get their response.
 	requestsContext context.Context
 	cancelRequests  context.CancelFunc
@@ -232,9 +236,11 @@
 // startServers starts the servers for callers, readiness checks, other VMs and metrics.
 func (g *gateway) startServers() (*http.Server, error) {
 	callers := g.newServer()
-	if err := serve(callers, g.settings.ListenCallers); err != nil {
+	listener, err := listen(g.settings.ListenCallers)
+	if err != nil {
 		return nil, err
 	}
+	serveListener(callers, g.connections.Listener(listener))
 	if err := serve(&http.Server{Handler: g.readyRouter(), ReadHeaderTimeout: headerTimeout}, g.settings.ListenReady); err != nil {
 		return nil, err
 	}
@@ -268,9 +274,13 @@
 	if err != nil {
 		return err
 	}
+	serveListener(server, listener)
+	return nil
+}
+
+func serveListener(server *http.Server, listener net.Listener) {
 	// Serve returns only on shutdown, which the caller initiates itself.
 	go func() { _ = server.Serve(listener) }()
-	return nil
 }
 
 // stop drains the VM: the readiness check fails first, and the load balancer needs time to detect that.
@@ -284,7 +294,7 @@
 	last := time.AfterFunc(g.settings.Grace-responseMargin, g.cancelRequests)
 	defer last.Stop()
 	sleep(ctx, balancerDetectionDelay)
-	if err := callers.Shutdown(ctx); err != nil {
+	if err := g.connections.Shutdown(ctx, callers); err != nil {
 		g.log.Part(logging.Entry).Event("open requests aborted at the end of the grace period", logging.SystemError(err))
 	}
 	g.targets.Pool().Close()
