--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,8 @@
 SOAK_SEEDS := 50
 SOAK_LENGTH := 15s
 SOAK_PARALLEL := 5
+# VMs of each deployment. With many of them run few seeds at the same time.
+SOAK_VMS := 4
 
 # Renames identifiers with every use: gopls rename -w FILE:LINE:COLUMN NAME.
 GOPLS := golang.org/x/tools/gopls@v0.23.0
@@ -63,7 +65,7 @@
 soak:
 	@echo "soak: seeds from $(SEED)"
 	$(GO) test ./internal/soak -count=1 -v -timeout 60m -parallel $(SOAK_PARALLEL) \
-		-soak.seed $(SEED) -soak.seeds $(SOAK_SEEDS) -soak.length $(SOAK_LENGTH)
+		-soak.seed $(SEED) -soak.seeds $(SOAK_SEEDS) -soak.length $(SOAK_LENGTH) -soak.vms $(SOAK_VMS)
 
 # Tools for work on the code that no check needs.
 tools:
--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -83,7 +83,7 @@
 		web.Close()
 	})
 	d.publishConfig()
-	for i := range 6 {
+	for i := range *vmCount * 3 / 2 {
 		service := unkeyedService
 		if i%2 == 1 {
 			service = keyedService
@@ -96,7 +96,7 @@
 		})
 		d.servers = append(d.servers, s)
 	}
-	for i := range 4 {
+	for i := range *vmCount {
 		d.vms = append(d.vms, d.addVM(i, strings.TrimPrefix(web.URL, "http://")))
 	}
 	return d
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -16,7 +16,6 @@
 const (
 	// ciFaultDuration is the time for which faults are injected in CI.
 	ciFaultDuration = 8 * time.Second
-	callerCount     = 8
 	buildTimeout    = 5 * time.Minute
 )
 
@@ -24,6 +23,7 @@
 	firstSeed = flag.Uint64("soak.seed", 0, "first seed of a manual run; 0 runs the seeds of CI")
 	seeds     = flag.Int("soak.seeds", 1, "number of seeds of a manual run")
 	length    = flag.Duration("soak.length", 15*time.Second, "time for which faults are injected in a manual run")
+	vmCount   = flag.Int("soak.vms", 4, "number of VMs; there are one and a half times as many servers and twice as many callers")
 )
 
 // ciSeeds are the seeds that CI runs. A seed that has failed once stays in the list, with its cause. Seed 1: a reload
@@ -85,7 +85,7 @@
 	defer cancel()
 	running.Go(func() { d.registerServers(ctx) })
 	d.awaitService("start", startTimeout)
-	for i := range callerCount {
+	for i := range 2 * *vmCount {
 		c := newImpatientCaller(d, fmt.Sprintf("c%d", i), seed+uint64(i))
 		running.Go(func() { c.run(ctx) })
 	}
