Pause VMs for longer in the test of requests during a stop

The test paused each VM 0.3 s before it closes idle connections; a machine that wakes the test later than that would fail it without a fault. The VM is now paused 1 s before and continues 1 s after that moment.

--- a/internal/soak/shutdown_test.go
+++ b/internal/soak/shutdown_test.go
@@ -21,6 +21,8 @@
 	pausedVMs = 16
 	// shutdownDelay is the time from the stop signal until a VM closes idle connections.
 	shutdownDelay = 2500 * time.Millisecond
+	// pauseMargin is how long before that a VM is paused, and how long after it continues. It covers a test that wakes late.
+	pauseMargin = time.Second
 )
 
 // Guards against a request without an answer, because a VM that stops closed its connection without having read it. The
@@ -41,9 +43,9 @@
 			requireAnswer(t, caller, reader)
 			stopped := make(chan error, 1)
 			go func() { stopped <- process.Stop(grace + stopTolerance) }()
-			time.Sleep(shutdownDelay - 300*time.Millisecond)
+			time.Sleep(shutdownDelay - pauseMargin)
 			process.Pause()
-			time.AfterFunc(600*time.Millisecond, process.Resume)
+			time.AfterFunc(2*pauseMargin, process.Resume)
 			requireAnswer(t, caller, reader)
 			assert.NoError(t, <-stopped)
 		})
