Keep the soak's patient callers and add impatient ones beside them

There are eight patient callers with the draws of before again, and eight impatient ones with draws of their own.

--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -15,7 +15,7 @@
 const (
 	// requestTimeout is how long a patient caller waits for a response.
 	requestTimeout = 4 * time.Second
-	// impatientShare is the share of requests whose caller leaves after at most maxPatience.
+	// impatientShare is the share of an impatient caller's requests that it leaves after at most maxPatience.
 	impatientShare = 0.4
 	maxPatience    = 100 * time.Millisecond
 )
@@ -25,11 +25,10 @@
 	deployment *deployment
 	name       string
 	random     *rand.Rand
-	// impatience draws when the caller leaves without a response; nil for one that always waits. It is separate from
-	// random, so that the requests of a seed do not depend on it.
-	impatience *rand.Rand
-	client     *http.Client
-	sent       atomic.Int64
+	// isImpatient is true for a caller that leaves some of its requests without a response.
+	isImpatient bool
+	client      *http.Client
+	sent        atomic.Int64
 }
 
 // newCaller returns a caller that waits for its responses.
@@ -43,7 +42,8 @@
 // newImpatientCaller returns a caller that leaves some of its requests without a response.
 func newImpatientCaller(d *deployment, name string, seed uint64) *caller {
 	c := newCaller(d, name, seed)
-	c.impatience = rand.New(rand.NewPCG(seed, 2))
+	c.random = rand.New(rand.NewPCG(seed, 2))
+	c.isImpatient = true
 	return c
 }
 
@@ -72,8 +72,8 @@
 	request.Header.Set("X-Tarragonpoint-Attempt-Id", id)
 	request.Header.Set("X-Tarragonpoint-Deadline-Ms", strconv.FormatInt(requestTimeout.Milliseconds(), 10))
 	request.Header.Set("X-Tarragonpoint-Shard-Key", strconv.Itoa(c.random.IntN(65536)))
-	if c.impatience != nil && c.impatience.Float64() < impatientShare {
-		ctx, cancel := context.WithTimeout(request.Context(), time.Duration(c.impatience.Int64N(int64(maxPatience))))
+	if c.isImpatient && c.random.Float64() < impatientShare {
+		ctx, cancel := context.WithTimeout(request.Context(), time.Duration(c.random.Int64N(int64(maxPatience))))
 		defer cancel()
 		request = request.WithContext(ctx)
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -23,13 +23,13 @@
 	firstSeed = flag.Uint64("soak.seed", 0, "first seed of a manual run; 0 runs the seeds of CI")
 	seeds     = flag.Int("soak.seeds", 1, "number of seeds of a manual run")
 	length    = flag.Duration("soak.length", 15*time.Second, "time for which faults are injected in a manual run")
-	vmCount   = flag.Int("soak.vms", 4, "number of VMs; there are one and a half times as many servers and twice as many callers")
+	vmCount   = flag.Int("soak.vms", 4, "number of VMs; there are one and a half times as many servers and four times as many callers")
 )
 
 // ciSeeds are the seeds that CI runs. A seed that has failed once stays in the list, with its cause. Seed 1: a reload
-// signal ended a process that had just been started. Seeds 9003 and 9012: a VM that was paused sent requests of callers
+// signal ended a process that had just been started. Seeds 9003 to 9015: a VM that was paused sent requests of callers
 // that had left.
-var ciSeeds = []uint64{1, 2, 9003, 9012}
+var ciSeeds = []uint64{1, 2, 9003, 9007, 9012, 9015}
 
 var (
 	program   string
@@ -86,8 +86,10 @@
 	running.Go(func() { d.registerServers(ctx) })
 	d.awaitService("start", startTimeout)
 	for i := range 2 * *vmCount {
-		c := newImpatientCaller(d, fmt.Sprintf("c%d", i), seed+uint64(i))
-		running.Go(func() { c.run(ctx) })
+		patient := newCaller(d, fmt.Sprintf("c%d", i), seed+uint64(i))
+		running.Go(func() { patient.run(ctx) })
+		impatient := newImpatientCaller(d, fmt.Sprintf("i%d", i), seed+uint64(i))
+		running.Go(func() { impatient.run(ctx) })
 	}
 	i := &injector{deployment: d, random: rand.New(rand.NewPCG(seed, 0)), busy: map[string]bool{}}
 	i.run(faultDuration)
