Log what decided on idle connections at a stop and on bodies without memory

An on-call engineer could not tell from the log whether a stopping VM had found requests on idle connections and how long it waited for them, nor which bound a response had exceeded and how much memory was left. A stop now logs "idle connections of callers closed" with the connections closed, those awaited and the time; the errors of bounded responses name the bound, the bytes read and the free and total memory for bodies.

--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -24,6 +24,16 @@
 // Listener returns a listener whose connections are tracked.
 func (t *Tracker) Listener(inner net.Listener) net.Listener { return &trackedListener{Listener: inner} }
 
+// Summary tells what a shutdown did with the idle connections.
+type Summary struct {
+	// Closed is the number of idle connections that were closed without a request.
+	Closed int
+	// Awaited is the number of idle connections on which a request had arrived when the shutdown began.
+	Awaited int
+	// Waited is how long the shutdown waited for those requests to be read.
+	Waited time.Duration
+}
+
 // Track records the state of a connection. It fits http.Server.ConnState.
 func (t *Tracker) Track(conn net.Conn, state http.ConnState) {
 	c, ok := conn.(*trackedConn)
@@ -45,20 +55,27 @@
 
 // Shutdown shuts down the server like http.Server.Shutdown, but does not close an idle connection on which a request has
 // arrived: it waits until the server has read the request's header or ctx ends.
-func (t *Tracker) Shutdown(ctx context.Context, server *http.Server) error {
+func (t *Tracker) Shutdown(ctx context.Context, server *http.Server) (Summary, error) {
+	started := time.Now()
 	ticker := time.NewTicker(readInterval)
 	defer ticker.Stop()
-	for !t.closeUnused() && ctx.Err() == nil {
+	closed, left := t.closeUnused()
+	summary := Summary{Closed: closed, Awaited: left}
+	for left > 0 && ctx.Err() == nil {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
 		}
+		closed, left = t.closeUnused()
+		summary.Closed += closed
 	}
-	return server.Shutdown(ctx)
+	summary.Waited = time.Since(started)
+	return summary, server.Shutdown(ctx)
 }
 
-// closeUnused closes the idle connections on which no request has arrived. It returns true if there are no others.
-func (t *Tracker) closeUnused() bool {
+// closeUnused closes the idle connections on which no request has arrived. It returns how many it closed and how many are
+// left.
+func (t *Tracker) closeUnused() (closed, left int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for c := range t.idle {
@@ -66,9 +83,10 @@
 		if raw := rawConn(c); (raw == nil || !hasUnread(raw)) && !c.hasRead.Load() {
 			_ = c.Close()
 			delete(t.idle, c)
+			closed++
 		}
 	}
-	return len(t.idle) == 0
+	return closed, len(t.idle)
 }
 
 type trackedListener struct{ net.Listener }
--- a/internal/callerconn/tracker_test.go
+++ b/internal/callerconn/tracker_test.go
@@ -104,18 +104,28 @@
 	require.NoError(t, err)
 	require.Eventually(t, func() bool { return hasUnread(listener.last.Load().raw) }, settleTime, time.Millisecond)
 	stopped := make(chan error, 1)
-	go func() { stopped <- tracker.Shutdown(context.Background(), server) }()
+	var summary Summary
+	go func() {
+		var err error
+		summary, err = tracker.Shutdown(context.Background(), server)
+		stopped <- err
+	}()
 	time.AfterFunc(200*time.Millisecond, func() { listener.stalled.Store(false) })
 	readBody(t, reader, "/second")
 	require.NoError(t, <-stopped)
+	assert.Equal(t, 1, summary.Awaited)
+	assert.Positive(t, summary.Waited)
 }
 
 // Guards against a shutdown that waits for idle connections, or beyond its context for requests that are not read.
 func TestShutdownEndsIdleConnections(t *testing.T) {
 	t.Parallel()
 	server, tracker, _, _, reader := startServer(t)
-	require.NoError(t, tracker.Shutdown(context.Background(), server))
-	_, err := reader.ReadByte()
+	summary, err := tracker.Shutdown(context.Background(), server)
+	require.NoError(t, err)
+	assert.Equal(t, 1, summary.Closed)
+	assert.Equal(t, 0, summary.Awaited)
+	_, err = reader.ReadByte()
 	assert.Equal(t, io.EOF, err)
 	server, tracker, listener, caller, _ := startServer(t)
 	listener.stalled.Store(true)
@@ -125,7 +135,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
 	started := time.Now()
-	_ = tracker.Shutdown(ctx, server)
+	_, _ = tracker.Shutdown(ctx, server)
 	assert.Less(t, time.Since(started), settleTime/2)
 	listener.stalled.Store(false)
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -182,7 +182,7 @@
 	if e.server == nil {
 		return nil
 	}
-	err := e.connections.Shutdown(ctx, e.server)
+	_, err := e.connections.Shutdown(ctx, e.server)
 	if err != nil {
 		e.server.Close()
 		err = ErrDrain.Wrap(err, "requests were still running")
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -13,9 +13,9 @@
 type requestPhase uint8
 
 const (
-	// phaseWaiting means that no target has been chosen for the request, or its attempt was not sent.
+	// phaseWaiting means that no target has been chosen for the request yet.
 	phaseWaiting requestPhase = iota
-	// phaseConnecting means that an attempt waits for a connection to its target.
+	// phaseConnecting means that an attempt waits or has waited for a connection to its target, and none has been sent.
 	phaseConnecting
 	// phaseSent means that at least one attempt has been sent.
 	phaseSent
--- a/internal/gateway/role.go
+++ b/internal/gateway/role.go
@@ -294,7 +294,10 @@
 	last := time.AfterFunc(g.settings.Grace-responseMargin, g.cancelRequests)
 	defer last.Stop()
 	sleep(ctx, balancerDetectionDelay)
-	if err := g.connections.Shutdown(ctx, callers); err != nil {
+	closed, err := g.connections.Shutdown(ctx, callers)
+	g.log.Part(logging.Entry).Event("idle connections of callers closed", logging.Count(closed.Closed),
+		logging.Awaited(closed.Awaited), logging.Duration(closed.Waited))
+	if err != nil {
 		g.log.Part(logging.Entry).Event("open requests aborted at the end of the grace period", logging.SystemError(err))
 	}
 	g.targets.Pool().Close()
--- a/internal/logging/fields.go
+++ b/internal/logging/fields.go
@@ -47,6 +47,9 @@
 // Threshold is the length of time that a measured one was compared with.
 func Threshold(length time.Duration) Field { return Field{"threshold", length.String()} }
 
+// Awaited is the number of connections whose requests the process waited for.
+func Awaited(count int) Field { return Field{"awaited", count} }
+
 // Count is the number of items that the line is about.
 func Count(count int) Field { return Field{"count", count} }
 
--- a/internal/upstream/bounds.go
+++ b/internal/upstream/bounds.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"math"
 	"sync/atomic"
@@ -31,7 +32,7 @@
 
 func (r *boundedReader) Read(buffer []byte) (int, error) {
 	if r.left <= 0 {
-		return 0, errTooLong
+		return 0, fmt.Errorf("%w: head exceeds %d bytes", errTooLong, maxHeadBytes)
 	}
 	n, err := r.source.Read(buffer[:min(len(buffer), r.left)])
 	r.left -= n
@@ -41,11 +42,12 @@
 // bodyMemory bounds the bytes that the incomplete bodies of all connections of a pool hold together. It is safe for
 // concurrent use.
 type bodyMemory struct {
-	free atomic.Int64
+	total int64
+	free  atomic.Int64
 }
 
 func newBodyMemory(bytes int64) *bodyMemory {
-	m := &bodyMemory{}
+	m := &bodyMemory{total: bytes}
 	m.free.Store(bytes)
 	return m
 }
@@ -79,7 +81,8 @@
 	r.read += int64(n)
 	if missing := r.read - freeBodyBytes - r.taken; missing > 0 {
 		if !r.memory.take(missing) {
-			return n, errTooLong
+			return n, fmt.Errorf("%w: %d bytes read, %d of %d bytes of the memory for bodies are free",
+				errTooLong, r.read, r.memory.free.Load(), r.memory.total)
 		}
 		r.taken += missing
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -239,7 +239,7 @@
 	// The body is not closed on an error, as that would read its rest.
 	body, err := c.bodies.readAll(received.Body)
 	if errors.Is(err, errTooLong) {
-		return nil, false, ErrMalformed.Wrap(err, "response body is not complete after %d bytes", len(body))
+		return nil, false, ErrMalformed.Wrap(err, "there is no memory for the rest of the response body")
 	}
 	if err != nil {
 		return nil, false, ErrNoResponse.Wrap(err, "response body is truncated after %d bytes", len(body))
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -415,6 +415,7 @@
 	require.Eventually(t, func() bool { return pool.bodies.free.Load() == freeBodyBytes }, 10*time.Second, time.Millisecond)
 	_, err := do(t, pool, over, get("1"))
 	assert.True(t, errorx.IsOfType(err, ErrMalformed), "%v", err)
+	assert.ErrorContains(t, err, "of 262144 bytes of the memory for bodies are free")
 	_, err = do(t, pool, ordinary, get("1"))
 	assert.NoError(t, err)
 	close(holding)
