--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -107,6 +107,9 @@
 	m.count(counterKey{name: "store_calls", label: "call", value: call, label2: "result", value2: value})
 }
 
+// unknownConfig sets the number of parts of the configuration in force that this program does not know.
+func (m *metrics) unknownConfig(parts int) { m.gauge("config_unknown_parts", float64(parts)) }
+
 func (m *metrics) command(kind, outcome string) {
 	m.count(counterKey{name: "orders", label: "kind", value: kind, label2: "outcome", value2: outcome})
 }
@@ -120,6 +123,14 @@
 	m.count(counterKey{name: "retries", label: "service", value: service})
 }
 
+// slowDelivery counts a response that was cut off because its caller read too slowly.
+func (m *metrics) slowDelivery() {
+	m.count(counterKey{name: "deliveries_cut", label: "reason", value: "timeout"})
+}
+
+// pause counts a response in which a target asked for a pause.
+func (m *metrics) pause() { m.count(counterKey{name: "pauses", label: "by", value: "target"}) }
+
 func (m *metrics) hedge(service string) {
 	m.count(counterKey{name: "hedges", label: "service", value: service})
 }
--- a/internal/gateway/topics.go
+++ b/internal/gateway/topics.go
@@ -38,6 +38,7 @@
 		g.state.setConfig(config)
 		log.Event("configuration applied", logging.ConfigVersion(config.Version),
 			logging.Offset(model.Offset(record.Offset)), logging.Count(config.Routes()))
+		g.reportUnknown(config.Version, decoded.Unknown)
 		g.controller.viewChanged()
 	}
 	if zone := decoded.EvacuationZone; zone != "" {
@@ -51,6 +52,23 @@
 	return decoded
 }
 
+// maxLoggedUnknown bounds the lines about one version of the configuration.
+const maxLoggedUnknown = 20
+
+// reportUnknown counts and logs the parts of a configuration that this program does not know.
+func (g *gateway) reportUnknown(version uint64, unknown []string) {
+	g.metrics.unknownConfig(len(unknown))
+	log := g.log.Part(logging.Config)
+	for i, part := range unknown {
+		if i == maxLoggedUnknown {
+			log.Event("further unknown parts of the configuration are not logged", logging.ConfigVersion(version),
+				logging.Count(len(unknown)-i))
+			return
+		}
+		log.Event("unknown part of the configuration left out", logging.ConfigVersion(version), logging.Reason(part))
+	}
+}
+
 func evacuationState(evacuated bool) string {
 	if evacuated {
 		return "out of service"
