Tie responses to their requests, and honour targets that leave or want a pause

Callers could see: 'not run' for a request that runs, when a target repeats an earlier rejection on a kept connection; the leader could hand keys over while the former owner still worked on them, when a target repeats the response to an earlier release or answers without handover data. Change: a rejection without an attempt ID counts only as a connection's first response. A further attempt of a request avoids the connections of the earlier ones. A grant rejected as fenced may still have taken effect, so its hold counts. Server-Leaving in a response ends all requests to that incarnation, whatever the store says later; VMs report it to the leader, which moves its keys. Retry-After of a 503 pauses a target for this VM; requests wait if they can, or are rejected with the time left. Both are checked again immediately before a request is sent. Bodies count towards the memory until they are delivered, and a caller that does not read is disconnected after delivery-timeout.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -22,6 +24,8 @@
 	response  *platform.Response
 	err       error
 	outcome   attemptOutcome
+	// targetUnavailable is true if the request was not sent because its target may not get requests any more.
+	targetUnavailable bool
 }
 
 // attempt sends a request to a target. It returns false if a target has to be chosen again. When the response to an
@@ -46,14 +50,45 @@
 			}
 		case finished := <-results:
 			inFlight--
-			j.mayHaveRun = j.mayHaveRun || finished.outcome == attemptUnknown || finished.outcome == attemptFailed
-			if finished.outcome == attemptResponded || inFlight == 0 {
-				return g.concludeAttempt(ctx, g.clock.Now(), j, finished)
+			j.finished(&finished)
+			if finished.outcome != attemptResponded && inFlight > 0 {
+				finished.response.Release()
+				continue
 			}
+			releaseLate(results, inFlight)
+			response, final := g.concludeAttempt(ctx, g.clock.Now(), j, finished)
+			if response.targetResponse == nil || !final {
+				finished.response.Release()
+			}
+			return response, final
 		}
 	}
 }
 
+// finished records an attempt that has ended.
+func (j *job) finished(attempt *attemptResult) {
+	j.mayHaveRun = j.mayHaveRun || attempt.outcome == attemptUnknown || attempt.outcome == attemptFailed
+	if attempt.response != nil && attempt.response.ConnectionID != 0 {
+		j.connections = append(j.connections, attempt.response.ConnectionID)
+	}
+	if attempt.targetUnavailable {
+		j.sends--
+	}
+}
+
+// releaseLate releases the responses to attempts that have lost against another one.
+func releaseLate(results <-chan attemptResult, inFlight int) {
+	if inFlight == 0 {
+		return
+	}
+	go func() {
+		for range inFlight {
+			finished := <-results
+			finished.response.Release()
+		}
+	}()
+}
+
 const (
 	// maxParallelAttempts is the maximum number of attempts of one request in flight.
 	maxParallelAttempts = 2
@@ -103,23 +138,44 @@
 	call := &platform.Call{
 		Method: j.request.Method, URI: j.uri, Host: j.request.Host, Header: j.request.Header, Body: j.body,
 		AttemptID: j.callerHeaders.AttemptID, TimeLeft: j.timeLeft(now), Target: chosen.target.ID,
-		Wanted: j.request.Context(), BeforeSend: j.caller.beforeSend,
+		Wanted: j.request.Context(), Avoid: slices.Clone(j.connections),
 	}
 	j.caller.connecting()
-	route, service, key, caller := j.route, j.service, j.callerHeaders.Key, j.request.Context()
+	route, service, key, caller, watch := j.route, j.service, j.callerHeaders.Key, j.request.Context(), j.caller
 	ended := g.metrics.attempt()
 	go func() {
 		defer ended()
+		unavailable := false
+		call.BeforeSend = func() error {
+			if unavailable = !g.acceptsRequests(chosen.target.Incarnation()); unavailable {
+				return errTargetUnavailable
+			}
+			return watch.beforeSend()
+		}
 		response, err := g.targets.Do(ctx, chosen.target.Address, call)
 		end := g.clock.Now()
 		outcome := classify(response, err)
 		g.picker.End(end, ticket, pickerResult(response, outcome, isCanceled(caller, route, err)))
 		g.countBytes(route.Name, &chosen.target, len(call.Body), response)
 		g.recordAttempt(end, service, key, chosen, response, err, end.Sub(now))
-		results <- attemptResult{placement: chosen, response: response, err: err, outcome: outcome}
+		results <- attemptResult{
+			placement: chosen, response: response, err: err, outcome: outcome, targetUnavailable: unavailable,
+		}
 	}()
 }
 
+// errTargetUnavailable reports that a target may not get requests any more, found immediately before a request was sent.
+var errTargetUnavailable = errors.New("target is leaving or wants no requests")
+
+// acceptsRequests reports whether a chosen target may still get requests immediately before one is sent.
+func (g *gateway) acceptsRequests(incarnation fleet.Incarnation) bool {
+	entry, found := g.state.lookup(g.clock.Now(), incarnation.ID)
+	if !found || entry.Target.Incarnation() != incarnation {
+		return true
+	}
+	return !entry.Leaving && entry.State != registry.Paused
+}
+
 // retryBurst returns this VM's share of the burst of the common retry budget.
 func (g *gateway) retryBurst() float64 {
 	return g.settings.RetryBurst * retryBurstFactor / g.fleetSize()
@@ -225,6 +281,9 @@
 		// The connections to the target may be broken without an error, which only a timeout reveals.
 		g.targets.Pool().CloseIdle(chosen.target.Address)
 	}
+	if response != nil {
+		g.recordTargetState(now, chosen.target.Incarnation(), response)
+	}
 	unreachable := err != nil && errorx.IsOfType(err, upstream.ErrNotSent) && !errorx.IsOfType(err, upstream.ErrAbandoned)
 	replaced := response != nil && response.ActualTarget != ""
 	if unreachable || replaced {
@@ -233,6 +292,17 @@
 	}
 }
 
+// recordTargetState records what a response says about the availability of its target.
+func (g *gateway) recordTargetState(now model.Instant, incarnation fleet.Incarnation, response *platform.Response) {
+	if response.Leaving {
+		g.markLeaving(incarnation, "response to a request")
+	}
+	if response.Pause > 0 {
+		g.metrics.pause()
+		g.state.withRegistry(func(r *registry.Registry) { r.Pause(now, incarnation, now.Add(response.Pause)) })
+	}
+}
+
 // connectionSuspectAfter is how long a request that timed out must have waited before the connections to its target are
 // assumed to be broken.
 const connectionSuspectAfter = time.Second
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -243,9 +243,9 @@
 	defer cancel()
 	outcome, connection := keyspace.NotSent, uint64(0)
 	if unlock := c.addressLocks.lock(callCtx, command.Target.Address); unlock != nil {
-		result, responseConnection, err := c.targets.Grant(callCtx, keyRange(command), c.settings.Hold, command.Handover)
+		response, err := c.targets.Grant(callCtx, keyRange(command), c.settings.Hold, command.Handover)
 		unlock()
-		outcome, connection = c.recordCommandResult(command, result, err), responseConnection
+		outcome, connection = c.recordCommandResponse(command, response, err), response.ConnectionID
 	}
 	c.post(func(now model.Instant) { c.manager.GrantEnded(now, command, outcome, connection) })
 }
@@ -253,9 +253,9 @@
 func (c *controller) release(ctx context.Context, command keyspace.Command) {
 	callCtx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
-	handover, result, err := c.releases.Release(callCtx, keyRange(command))
-	outcome := c.recordCommandResult(command, result, err)
-	c.post(func(now model.Instant) { c.manager.ReleaseEnded(now, command, outcome, handover) })
+	response, err := c.releases.Release(callCtx, keyRange(command))
+	outcome := c.recordCommandResponse(command, response, err)
+	c.post(func(now model.Instant) { c.manager.ReleaseEnded(now, command, outcome, response.Handover) })
 }
 
 func keyRange(command keyspace.Command) platform.KeyRange {
@@ -265,13 +265,16 @@
 	}
 }
 
-// recordCommandResult converts the result of a command to its outcome and logs it. The connection of a command that
+// recordCommandResponse converts the response to a command to its outcome and logs it. The connection of a command that
 // failed with an error is closed, so the next command uses a new connection.
-func (c *controller) recordCommandResult(
-	command keyspace.Command, result platform.CommandResult, err error,
+func (c *controller) recordCommandResponse(
+	command keyspace.Command, response platform.CommandResponse, err error,
 ) keyspace.Outcome {
-	outcome := commandOutcome(result, err)
+	outcome := commandOutcome(response.Result, err)
 	c.logCommand(command, outcome, err)
+	if response.Leaving {
+		c.gw.markLeaving(command.Target.Incarnation, "response to a command")
+	}
 	return outcome
 }
 
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -30,6 +30,8 @@
 	// sends is the number of attempts made so far, including hedges; tried lists their targets.
 	tried []fleet.Incarnation
 	sends int
+	// connections are those that carried an attempt and are still open; see platform.Call.
+	connections []uint64
 	// mayHaveRun is true once an attempt has failed or ended with an unknown outcome.
 	mayHaveRun bool
 }
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -45,8 +46,13 @@
 		response = g.serve(w, j)
 	}
 	stopWatch()
-	g.write(w, j, response)
+	err = g.write(w, j, response)
+	response.targetResponse.Release()
 	g.finish(j, response)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		// Otherwise the server would keep the connection for the caller's next request.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 func deadlineOf(callerHeaders platform.CallerHeaders) time.Duration {
@@ -106,8 +112,8 @@
 	return io.ReadAll(body)
 }
 
-// write sends the response to the caller.
-func (g *gateway) write(w http.ResponseWriter, j *job, response callerResponse) {
+// write sends the response to the caller. It returns os.ErrDeadlineExceeded if the caller reads too slowly.
+func (g *gateway) write(w http.ResponseWriter, j *job, response callerResponse) error {
 	header := w.Header()
 	if g.draining.Load() {
 		header.Set("Connection", "close")
@@ -117,10 +123,7 @@
 			header[name] = values
 		}
 		header.Set("Content-Length", strconv.Itoa(len(response.targetResponse.Body)))
-		w.WriteHeader(response.targetResponse.Status)
-		// A write error means that the caller has disconnected, so there is nobody to report it to.
-		_, _ = w.Write(response.targetResponse.Body)
-		return
+		return g.deliver(w, response.targetResponse)
 	}
 	info := result.Lookup(response.code)
 	platform.SetAttemptID(header, j.callerHeaders.AttemptID)
@@ -133,6 +136,35 @@
 	header.Set("Content-Length", strconv.Itoa(len(text)))
 	w.WriteHeader(statusOf(info))
 	_, _ = io.WriteString(w, text)
+	return nil
+}
+
+// minDeliveryBody is the size of a body, in bytes, from which its delivery is bounded in time. Smaller ones fit into the
+// buffers of a connection.
+const minDeliveryBody = 4 << 10
+
+// deliver writes a target's response to the caller. A caller that reads too slowly is disconnected after DeliveryTimeout,
+// so that it does not hold memory for longer; what it got is shorter than the Content-Length and does not look complete.
+func (g *gateway) deliver(w http.ResponseWriter, response *platform.Response) error {
+	w.WriteHeader(response.Status)
+	if len(response.Body) < minDeliveryBody {
+		// A write error means that the caller has disconnected, so there is nobody to report it to.
+		_, _ = w.Write(response.Body)
+		return nil
+	}
+	connection := http.NewResponseController(w)
+	if err := connection.SetWriteDeadline(time.Now().Add(g.settings.DeliveryTimeout)); err != nil {
+		return err
+	}
+	_, err := w.Write(response.Body)
+	if err == nil {
+		err = connection.Flush()
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		g.metrics.slowDelivery()
+		return err
+	}
+	return connection.SetWriteDeadline(time.Time{})
 }
 
 // statusOf returns the HTTP status of a result. A request whose deadline passed before it ran gets 503, which states
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -4,8 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/tarragonpoint/tarragonpoint/internal/fleet"
 	"github.com/tarragonpoint/tarragonpoint/internal/hub"
 	"github.com/tarragonpoint/tarragonpoint/internal/logging"
+	"github.com/tarragonpoint/tarragonpoint/internal/registry"
 	"github.com/tarragonpoint/tarragonpoint/platform"
 )
 
@@ -66,6 +68,7 @@
 func (g *gateway) report() hub.Report {
 	return hub.Report{
 		VM: g.settings.VM, LinkMbps: g.settings.LinkMbps, Services: g.work.take(), Failed: g.state.failedTargets(),
+		Leaving: g.state.markedLeaving(),
 	}
 }
 
@@ -73,6 +76,19 @@
 func (g *gateway) handleReport(report hub.Report) {
 	g.load.add(report)
 	g.watched.add(g.clock.Now(), report.Failed)
+	for _, incarnation := range report.Leaving {
+		g.markLeaving(incarnation, "report of a VM")
+	}
+}
+
+// markLeaving records that a target is about to stop, although the store may still have it as ready.
+func (g *gateway) markLeaving(incarnation fleet.Incarnation, source string) {
+	marked := false
+	g.state.withRegistry(func(r *registry.Registry) { marked = r.MarkLeaving(g.clock.Now(), incarnation) })
+	if marked {
+		g.log.Part(logging.Registry).Event("target is about to stop", logging.TargetID(incarnation.ID), logging.Reason(source))
+		g.controller.viewChanged()
+	}
 }
 
 // serveLink sends reports and applies pushes until the link fails or the leader changes.
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -69,6 +69,9 @@
 	}
 	choice, found := g.picker.Choose(now, g.pickerRequest(j), targets)
 	if !found {
+		if pause := shortestPause(j, entries); pause > 0 {
+			return g.waitForPause(now, j, pause)
+		}
 		return placement{
 			action: actionReject, response: reject(result.NoTarget, "no target may serve the route", overloadRetryAfter),
 		}
@@ -83,6 +86,28 @@
 	return placement{action: actionSend, target: target, estimate: choice.Estimate}
 }
 
+// shortestPause returns the time until the first of the paused targets that may serve a request gets requests again; 0 if
+// none is paused.
+func shortestPause(j *job, entries []registry.Entry) time.Duration {
+	shortest := time.Duration(0)
+	for i := range entries {
+		pause := entries[i].PauseLeft
+		if pause > 0 && j.route.AllowsRegion(entries[i].Target.Region) && (shortest == 0 || pause < shortest) {
+			shortest = pause
+		}
+	}
+	return shortest
+}
+
+// waitForPause makes a request wait until its targets want requests again, if there is time to run it then, and rejects it
+// at once otherwise or if this VM is draining. The rejection tells the caller when the pause ends.
+func (g *gateway) waitForPause(now model.Instant, j *job, pause time.Duration) placement {
+	if pause+g.picker.Work(j.route.Name) > j.timeLeft(now) || g.draining.Load() {
+		return placement{action: actionReject, response: reject(result.Overloaded, "targets asked for a pause", pause)}
+	}
+	return placement{action: actionWait, wait: pause}
+}
+
 func (g *gateway) allowCold(
 	now model.Instant, service fleet.Service, incarnation fleet.Incarnation, consume bool,
 ) bool {
@@ -98,7 +123,7 @@
 	var targets []fleet.Target
 	for i := range entries {
 		target := &entries[i].Target
-		if entries[i].State == registry.Unavailable || !j.route.AllowsRegion(target.Region) {
+		if entries[i].State == registry.Unavailable || entries[i].State == registry.Paused || !j.route.AllowsRegion(target.Region) {
 			continue
 		}
 		if skipTried && j.wasTried(target.Incarnation()) {
@@ -163,6 +188,9 @@
 	if entry.State == registry.Unavailable {
 		return g.waitForOwner(now, j, "owner is unreachable")
 	}
+	if entry.State == registry.Paused {
+		return g.waitForPause(now, j, entry.PauseLeft)
+	}
 	service := g.state.config.Load().Services[j.service]
 	if entry.State == registry.Cold && !g.allowCold(now, service, r.Owner.Incarnation, true) {
 		return g.waitForOwner(now, j, "owner is cold")
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -62,6 +62,8 @@
 	LinkMbps float64
 	// MemoryMB is the memory limit of this VM, in MB; 0 if it is not known.
 	MemoryMB float64
+	// DeliveryTimeout is the maximum time to write a response to its caller.
+	DeliveryTimeout time.Duration
 	// LogLevel is a level of logrus.
 	LogLevel string
 }
@@ -95,6 +97,8 @@
 		"Bandwidth of this VM's link in Mbit/s; VMs with a fast link are preferred as leader. 0 if it is not known.")
 	flags.Float64Var(&s.MemoryMB, "memory-mb", 0,
 		"Memory limit of this VM in MB; it bounds the memory for responses of targets. 0 if it is not known.")
+	flags.DurationVar(&s.DeliveryTimeout, "delivery-timeout", 30*time.Second,
+		"Maximum time to write a response to its caller; a caller that reads more slowly is disconnected.")
 	flags.StringVar(&s.LogLevel, "log-level", "info",
 		"Minimum level of the log lines that are written: debug, info, warning or error.")
 	flags.String("config", "",
@@ -131,7 +135,7 @@
 		addProblem("zones", s.Zones, err.Error())
 	}
 	for name, value := range map[string]time.Duration{
-		"retry-window": s.RetryWindow, "hold-max": s.HoldMax, "grace": s.Grace,
+		"retry-window": s.RetryWindow, "hold-max": s.HoldMax, "grace": s.Grace, "delivery-timeout": s.DeliveryTimeout,
 	} {
 		if value <= 0 {
 			addProblem(name, value.String(), "set a duration above 0, for instance 5s")
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -93,3 +93,10 @@
 	defer s.mu.Unlock()
 	return s.registry.FailedTargets()
 }
+
+// markedLeaving returns the targets that told this VM that they are about to stop and that the store has as ready.
+func (s *state) markedLeaving() []fleet.Incarnation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.registry.MarkedLeaving()
+}
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -15,6 +15,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/joomcode/errorx"
 
+	"github.com/tarragonpoint/tarragonpoint/internal/fleet"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
 )
 
@@ -60,6 +61,8 @@
 	Services map[model.Service][]Bucket
 	// Failed lists the targets that the VM could not reach and that have not reported since then.
 	Failed []model.TargetID
+	// Leaving lists the targets that told the VM in a response that they are about to stop, until the store shows it too.
+	Leaving []fleet.Incarnation
 }
 
 // Position is a VM's position among all VMs.
--- a/internal/keyspace/fuzz_test.go
+++ b/internal/keyspace/fuzz_test.go
@@ -9,6 +9,9 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/fleet"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
 )
 
 // Verifies that under any series of faults no key has two holders and the fences of a key increase, and that every key
@@ -135,3 +138,17 @@
 	assert.Zero(t, sim.unheld())
 	assert.Empty(t, sim.violation)
 }
+
+// Guards against two holders of a key: a rejection of a grant as fenced may be a second copy of an earlier response, so the
+// target may hold the keys until the grant expires.
+func TestFencedGrantMayHaveTakenEffect(t *testing.T) {
+	sim := newSimulation(1, 1, 2)
+	sim.run(time.Second)
+	m := sim.vms[0].manager
+	owner := m.table.Ranges[0].Owner
+	m.holdUntil = map[fleet.Incarnation]model.Instant{}
+	m.grantsInFlight = map[fleet.Incarnation]int{owner.Incarnation: 1}
+	m.GrantEnded(sim.now, Command{Kind: GrantKeys, Target: owner}, Fenced, 0)
+	assert.False(t, m.holdEnded(sim.now, owner.Incarnation))
+	assert.True(t, m.holdEnded(sim.now.Add(sim.settings.holdBound()), owner.Incarnation))
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -19,6 +19,9 @@
 	// outageRemovalWindow is how long after an outage of the store a removal counts as the expiry of an entry that could
 	// not be renewed. Removals read later happened after the outage and are final.
 	outageRemovalWindow = 500 * time.Millisecond
+	// leavingRetention is how long a target that stated that it is about to stop is remembered after its entry is gone. It
+	// exceeds the time for which targets serve after they have announced their stop, and every outage of the store.
+	leavingRetention = 10 * time.Minute
 	// zoneRestoreDelay is how long the targets of a zone that was restored to service get no requests, so that new reports
 	// can show which of them are cold. It covers one heartbeat and one poll of the registry.
 	zoneRestoreDelay = 2 * time.Second
@@ -45,6 +48,11 @@
 	outageEndedAt model.Instant
 	outage        bool
 	version       uint64
+	// leaving holds when an incarnation first stated in a response that it is about to stop. It is kept apart from the
+	// entries, because neither an older record nor the removal of an entry revokes it.
+	leaving map[fleet.Incarnation]model.Instant
+	// paused holds until when an incarnation wants no requests from this VM.
+	paused map[fleet.Incarnation]model.Instant
 }
 
 // New returns an empty registry. regions maps the zones of the deployment to their regions.
@@ -52,6 +60,7 @@
 	return &Registry{
 		regions: regions, entries: map[model.TargetID]*entry{},
 		evacuated: map[model.Zone]bool{}, restoredAt: map[model.Zone]model.Instant{},
+		leaving: map[fleet.Incarnation]model.Instant{}, paused: map[fleet.Incarnation]model.Instant{},
 	}
 }
 
@@ -132,6 +141,7 @@
 // Expire drops the expired entries whose grace period has passed and returns their IDs. During an outage of the store
 // it drops none.
 func (r *Registry) Expire(now model.Instant) []model.TargetID {
+	r.dropOldMarks(now)
 	var dropped []model.TargetID
 	for id, e := range r.entries {
 		if e.dropAt != 0 && now >= e.dropAt && !r.outage {
@@ -143,6 +153,53 @@
 	return dropped
 }
 
+// MarkLeaving records that an incarnation stated in a response that it is about to stop. It gets no more requests; only a
+// later incarnation with its ID does. MarkLeaving returns true if that was not known.
+func (r *Registry) MarkLeaving(now model.Instant, incarnation fleet.Incarnation) bool {
+	if _, known := r.leaving[incarnation]; known {
+		return false
+	}
+	r.leaving[incarnation] = now
+	r.version++
+	return true
+}
+
+// MarkedLeaving returns the incarnations that stated that they are about to stop while the store still has them as ready,
+// in no particular order.
+func (r *Registry) MarkedLeaving() []fleet.Incarnation {
+	var marked []fleet.Incarnation
+	for incarnation := range r.leaving {
+		if e := r.entries[incarnation.ID]; e != nil && e.target.Incarnation() == incarnation && !e.target.Draining {
+			marked = append(marked, incarnation)
+		}
+	}
+	return marked
+}
+
+// Pause records that an incarnation wants no requests from this VM until an instant. A shorter pause does not end a longer
+// one.
+func (r *Registry) Pause(now model.Instant, incarnation fleet.Incarnation, until model.Instant) {
+	if until > max(now, r.paused[incarnation]) {
+		r.paused[incarnation] = until
+	}
+}
+
+// dropOldMarks bounds the memory for marks of incarnations.
+func (r *Registry) dropOldMarks(now model.Instant) {
+	for incarnation, until := range r.paused {
+		if now >= until {
+			delete(r.paused, incarnation)
+		}
+	}
+	for incarnation, at := range r.leaving {
+		e := r.entries[incarnation.ID]
+		isListed := e != nil && e.target.Incarnation() == incarnation
+		if !isListed && now.Sub(at) >= leavingRetention {
+			delete(r.leaving, incarnation)
+		}
+	}
+}
+
 // SetEvacuated sets whether a zone is to get no requests. It returns true if that changed.
 func (r *Registry) SetEvacuated(now model.Instant, zone model.Zone, evacuated bool) bool {
 	if r.evacuated[zone] == evacuated {
@@ -200,16 +257,20 @@
 	Cold
 	// Unavailable targets get no requests.
 	Unavailable
+	// Paused targets get no requests from this VM for some time, at their own wish. They keep their keys.
+	Paused
 )
 
 func (r *Registry) state(now model.Instant, e *entry) State {
 	switch {
-	case e.target.Draining, r.evacuated[e.target.Zone]:
+	case r.isLeaving(e):
 		return Unavailable
 	case e.failedAt != 0:
 		return Unavailable
 	case r.restoredAt[e.target.Zone] != 0 && now.Sub(r.restoredAt[e.target.Zone]) < zoneRestoreDelay:
 		return Unavailable
+	case now < r.paused[e.target.Incarnation()]:
+		return Paused
 	case now < e.target.ColdUntil:
 		return Cold
 	}
@@ -220,8 +281,10 @@
 type Entry struct {
 	Target fleet.Target
 	State  State
-	// Leaving is true if the target is draining or its zone is evacuated.
+	// Leaving is true if the target is draining or about to stop, or its zone is evacuated.
 	Leaving bool
+	// PauseLeft is how long a paused target gets no requests; 0 for other targets.
+	PauseLeft time.Duration
 	// Age is the time since the last report was read.
 	Age time.Duration
 }
@@ -236,10 +299,16 @@
 }
 
 func (r *Registry) entry(now model.Instant, e *entry) Entry {
-	return Entry{
-		Target: e.target, State: r.state(now, e), Age: now.Sub(e.readAt),
-		Leaving: e.target.Draining || r.evacuated[e.target.Zone],
+	entry := Entry{Target: e.target, State: r.state(now, e), Age: now.Sub(e.readAt), Leaving: r.isLeaving(e)}
+	if entry.State == Paused {
+		entry.PauseLeft = r.paused[e.target.Incarnation()].Sub(now)
 	}
+	return entry
+}
+
+func (r *Registry) isLeaving(e *entry) bool {
+	_, marked := r.leaving[e.target.Incarnation()]
+	return marked || e.target.Draining || r.evacuated[e.target.Zone]
 }
 
 // Service returns the targets of a service in order of their IDs.
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -93,3 +93,55 @@
 	entry, _ := r.Lookup(at(time.Second), "x")
 	assert.Equal(t, int64(7), entry.Target.StartedAtMillis)
 }
+
+// A target that announced its stop in a response gets no requests, whatever the store says of it later; a later
+// incarnation with its ID does.
+func TestAnnouncedStopIsFinal(t *testing.T) {
+	r := newRegistry()
+	r.Report(at(0), target("x"), 0)
+	incarnation := fleet.Incarnation{ID: "x", StartedAtMillis: 7}
+	assert.True(t, r.MarkLeaving(at(time.Second), incarnation))
+	assert.False(t, r.MarkLeaving(at(2*time.Second), incarnation))
+	assert.Equal(t, []fleet.Incarnation{incarnation}, r.MarkedLeaving())
+	unusable := func(now time.Duration) {
+		entry, found := r.Lookup(at(now), "x")
+		assert.True(t, found)
+		assert.Equal(t, Unavailable, entry.State)
+		assert.True(t, entry.Leaving)
+	}
+	r.Report(at(3*time.Second), target("x"), 0)
+	unusable(3 * time.Second)
+	r.SetStoreAvailable(at(4*time.Second), false)
+	r.Expire(at(leavingRetention + time.Minute))
+	unusable(leavingRetention + time.Minute)
+	r.SetStoreAvailable(at(leavingRetention+time.Minute), true)
+	r.Remove(at(leavingRetention+time.Hour), "x")
+	r.Report(at(leavingRetention+time.Hour), target("x"), 0)
+	unusable(leavingRetention + time.Hour)
+	next := target("x")
+	next.StartedAtMillis = 8
+	r.Report(at(2*time.Hour), next, 0)
+	entry, _ := r.Lookup(at(2*time.Hour), "x")
+	assert.Equal(t, Serving, entry.State)
+	assert.Empty(t, r.MarkedLeaving())
+	r.Expire(at(2 * time.Hour))
+	assert.Empty(t, r.leaving, "marks of former incarnations are dropped")
+}
+
+// A target gets no requests for as long as it asked for, and is available at once afterwards; it keeps its keys.
+func TestPausedTargetGetsNoRequests(t *testing.T) {
+	r := newRegistry()
+	r.Report(at(0), target("x"), 0)
+	incarnation := fleet.Incarnation{ID: "x", StartedAtMillis: 7}
+	r.Pause(at(0), incarnation, at(2*time.Second))
+	r.Pause(at(500*time.Millisecond), incarnation, at(time.Second))
+	r.Report(at(time.Second), target("x"), 0)
+	entry, _ := r.Lookup(at(1500*time.Millisecond), "x")
+	assert.Equal(t, Paused, entry.State)
+	assert.Equal(t, 500*time.Millisecond, entry.PauseLeft)
+	assert.False(t, entry.Leaving)
+	entry, _ = r.Lookup(at(2*time.Second), "x")
+	assert.Equal(t, Serving, entry.State)
+	r.Expire(at(3 * time.Second))
+	assert.Empty(t, r.paused)
+}
--- a/internal/standin/platformstub/target.go
+++ b/internal/standin/platformstub/target.go
@@ -30,10 +30,15 @@
 	// Unsealed runs requests and responds without the server seal, the header for the target's digest of the response.
 	// Serve, Fail and WrongAttemptID send a fixed text in it, because the router only checks whether it is present.
 	Unsealed
+	// Pause rejects requests without running them and asks for a pause of PauseSeconds.
+	Pause
 	// WrongAttemptID runs requests and responds with the attempt ID of another request, like a stale response.
 	WrongAttemptID
 )
 
+// PauseSeconds is the pause that targets in mode Pause ask for.
+const PauseSeconds = 2
+
 // Target is a stand-in for a server instance.
 type Target struct {
 	ID string
@@ -41,9 +46,13 @@
 	server *httptest.Server
 	mu     sync.Mutex
 	mode   Mode
-	work   time.Duration
-	runs   map[string]int
-	holds  []heldRange // all grants and releases, in order of receipt
+	// leaving is true if all responses state that the target is about to stop.
+	leaving bool
+	// arrivals counts the requests, including rejected ones.
+	arrivals int
+	work     time.Duration
+	runs     map[string]int
+	holds    []heldRange // all grants and releases, in order of receipt
 }
 
 // heldRange is a range of keys from a grant or a release. The target holds it before until, which is zero after a
@@ -77,6 +86,20 @@
 	t.mode = mode
 }
 
+// AnnounceStop makes all responses from now on state that the target is about to stop.
+func (t *Target) AnnounceStop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.leaving = true
+}
+
+// Arrivals returns the number of requests that have arrived, including rejected ones.
+func (t *Target) Arrivals() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.arrivals
+}
+
 // Runs returns how many times the request with an attempt ID has run.
 func (t *Target) Runs(id string) int {
 	t.mu.Lock()
@@ -97,6 +120,11 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	t.mu.Lock()
+	if t.leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	t.mu.Unlock()
 	switch request.URL.Path {
 	case "/grant", "/release":
 		t.command(w, request)
@@ -161,6 +189,9 @@
 		return
 	}
 	id := request.Header.Get("X-Tarragonpoint-Attempt-Id")
+	t.mu.Lock()
+	t.arrivals++
+	t.mu.Unlock()
 	if key, err := strconv.Atoi(request.Header.Get("X-Tarragonpoint-Shard-Key")); err == nil && !t.Holds(key) {
 		w.Header().Set("X-Tarragonpoint-Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -168,7 +199,7 @@
 	}
 	t.mu.Lock()
 	mode := t.mode
-	if mode != Shed && mode != Hang {
+	if mode != Shed && mode != Pause && mode != Hang {
 		t.runs[id]++
 	}
 	t.mu.Unlock()
@@ -180,6 +211,9 @@
 	header.Set("X-Tarragonpoint-Attempt-Id", id)
 	header.Set("X-Tarragonpoint-Instance-Load", "1,0,4,100")
 	switch mode {
+	case Pause:
+		header.Set("Retry-After", strconv.Itoa(PauseSeconds))
+		fallthrough
 	case Shed:
 		header.Set("X-Tarragonpoint-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/upstream/bounds.go
+++ b/internal/upstream/bounds.go
@@ -39,8 +39,8 @@
 	return n, err
 }
 
-// bodyMemory bounds the bytes that the incomplete bodies of all connections of a pool hold together. It is safe for
-// concurrent use.
+// bodyMemory bounds the bytes that the bodies of all responses of a pool hold together, from their first byte until the
+// response is released. It is safe for concurrent use.
 type bodyMemory struct {
 	total int64
 	free  atomic.Int64
@@ -52,11 +52,15 @@
 	return m
 }
 
-// readAll reads a body to its end. It returns errTooLong, with what it has read, if there is no memory for the rest.
-func (m *bodyMemory) readAll(body io.Reader) ([]byte, error) {
-	reader := &bodyReader{memory: m, source: body}
-	defer reader.release()
-	return io.ReadAll(reader)
+// readAll reads a body to its end. The reservation is for the returned bytes; it is released on an error. readAll returns
+// errTooLong, with what it has read, if there is no memory for the rest.
+func (m *bodyMemory) readAll(body io.Reader) ([]byte, *reservation, error) {
+	reader := &bodyReader{reserved: &reservation{memory: m}, source: body}
+	read, err := io.ReadAll(reader)
+	if err != nil {
+		reader.reserved.release()
+	}
+	return read, reader.reserved, err
 }
 
 // take reserves memory. It returns false if there is not enough.
@@ -68,25 +72,37 @@
 	return false
 }
 
+// reservation is the part of a bodyMemory that one body holds.
+type reservation struct {
+	memory *bodyMemory
+	bytes  atomic.Int64
+}
+
+func (r *reservation) take(bytes int64) bool {
+	if !r.memory.take(bytes) {
+		return false
+	}
+	r.bytes.Add(bytes)
+	return true
+}
+
+// release returns the memory. It may be called several times.
+func (r *reservation) release() { r.memory.free.Add(r.bytes.Swap(0)) }
+
 // bodyReader reads a body and reserves memory for what exceeds freeBodyBytes.
 type bodyReader struct {
-	memory *bodyMemory
-	source io.Reader
-	read   int64
-	taken  int64
+	reserved *reservation
+	source   io.Reader
+	read     int64
 }
 
 func (r *bodyReader) Read(buffer []byte) (int, error) {
 	n, err := r.source.Read(buffer)
 	r.read += int64(n)
-	if missing := r.read - freeBodyBytes - r.taken; missing > 0 {
-		if !r.memory.take(missing) {
-			return n, fmt.Errorf("%w: %d bytes read, %d of %d bytes of the memory for bodies are free",
-				errTooLong, r.read, r.memory.free.Load(), r.memory.total)
-		}
-		r.taken += missing
+	memory := r.reserved.memory
+	if missing := r.read - freeBodyBytes - r.reserved.bytes.Load(); missing > 0 && !r.reserved.take(missing) {
+		return n, fmt.Errorf("%w: %d bytes read, %d of %d bytes of the memory for bodies are free",
+			errTooLong, r.read, memory.free.Load(), memory.total)
 	}
 	return n, err
 }
-
-func (r *bodyReader) release() { r.memory.free.Add(r.taken) }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -61,6 +61,11 @@
 	Body   []byte
 	// ConnectionID requires the connection that an earlier response identified; 0 allows any connection.
 	ConnectionID uint64
+	// Avoid lists connections that the request must not use. A target may repeat a response, and a copy of the response to
+	// an earlier attempt cannot be told from the response to this one if both are sent over the same connection.
+	Avoid []uint64
+	// OwnConnection opens a connection for this request alone, so that any response on it belongs to the request.
+	OwnConnection bool
 	// Wanted ends when nobody waits for the response any more. Until the first byte of the request is sent, that ends the
 	// request with ErrAbandoned; later it has no effect. nil never ends.
 	Wanted context.Context
@@ -69,8 +74,16 @@
 	BeforeSend func() error
 	// ReplaceClosed opens a new connection as soon as the target closes the connection after its response.
 	ReplaceClosed bool
-	// Matches reports whether a response with this status and header belongs to the request; nil accepts all responses.
-	Matches func(status int, header http.Header) bool
+	// Matches reports whether a response with this head belongs to the request; nil accepts all responses.
+	Matches func(head Head) bool
+}
+
+// Head is the head of a response, before it is known to which request the response belongs.
+type Head struct {
+	Status int
+	Header http.Header
+	// First is true for the first response on a connection, which cannot belong to an earlier request.
+	First bool
 }
 
 // abandoned reports whether the request is not wanted any more.
@@ -90,16 +103,26 @@
 	return nil
 }
 
-// Response is a complete response.
+// Response is a complete response. Its body counts towards the pool's memory for bodies until Release.
 type Response struct {
 	Status int
 	Header http.Header
 	Body   []byte
+	// body is the part of the memory for bodies that Body holds.
+	body *reservation
 	// ConnectionID identifies the connection, or the one opened by ReplaceClosed in its place, for later requests. It is 0
 	// if neither is open.
 	ConnectionID uint64
 }
 
+// Release returns the memory of the body to the pool. The response must not be used afterwards. It may be called several
+// times and on nil.
+func (r *Response) Release() {
+	if r != nil {
+		r.body.release()
+	}
+}
+
 // conn is one connection to a target. It serves one request at a time.
 type conn struct {
 	id     uint64
@@ -112,6 +135,8 @@
 	// bodies is the memory for the bodies of all connections of the pool.
 	bodies  *bodyMemory
 	expires time.Time
+	// responses is the number of responses received.
+	responses int
 }
 
 func newConn(socket net.Conn, bodies *bodyMemory) *conn {
@@ -222,9 +247,12 @@
 		if err != nil {
 			return nil, false, err
 		}
-		if request.Matches == nil || request.Matches(response.Status, response.Header) {
-			return response, keep && stale == 0, nil
+		c.responses++
+		head := Head{Status: response.Status, Header: response.Header, First: c.responses == 1}
+		if request.Matches == nil || request.Matches(head) {
+			return response, keep && stale == 0 && !request.OwnConnection, nil
 		}
+		response.Release()
 		if stale >= maxStaleResponses || !keep {
 			return nil, false, ErrMalformed.New("response with status %d belongs to another request", response.Status)
 		}
@@ -237,7 +265,7 @@
 		return nil, false, err
 	}
 	// The body is not closed on an error, as that would read its rest.
-	body, err := c.bodies.readAll(received.Body)
+	body, reserved, err := c.bodies.readAll(received.Body)
 	if errors.Is(err, errTooLong) {
 		return nil, false, ErrMalformed.Wrap(err, "there is no memory for the rest of the response body")
 	}
@@ -248,7 +276,7 @@
 	if keep {
 		c.expires = time.Now().Add(idleTimeout(received.Header))
 	}
-	return &Response{Status: received.StatusCode, Header: received.Header, Body: body}, keep, nil
+	return &Response{Status: received.StatusCode, Header: received.Header, Body: body, body: reserved}, keep, nil
 }
 
 // readResponseHead returns the next response without its body. It skips informational (1xx) responses except 101.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -42,7 +43,7 @@
 
 // Options are the options of a pool.
 type Options struct {
-	// BodyMemory is the number of bytes that the bodies of responses that are being received may hold together; 0 means
+	// BodyMemory is the number of bytes that the bodies of responses may hold together until they are released; 0 means
 	// 32 MiB. A response for which there is no memory is malformed. The first 64 KiB of each body do not count.
 	BodyMemory int64
 	// Dialer opens connections; nil means one with the timeouts of this package.
@@ -104,9 +105,10 @@
 
 // connect returns an idle connection for a request, or opens one until the request is not wanted any more.
 func (p *Pool) connect(ctx context.Context, address string, request *Request) (*conn, error) {
-	c := p.takeIdle(address, request.ConnectionID)
-	if c != nil {
-		return c, nil
+	if !request.OwnConnection {
+		if c := p.takeIdle(address, request); c != nil {
+			return c, nil
+		}
 	}
 	if request.ConnectionID != 0 {
 		return nil, ErrNotConnected.New("connection %d to %s is closed or in use", request.ConnectionID, address)
@@ -123,6 +125,14 @@
 	return c, err
 }
 
+// allows reports whether the request may use a connection.
+func (r *Request) allows(id uint64) bool {
+	if r.ConnectionID != 0 {
+		return id == r.ConnectionID
+	}
+	return !slices.Contains(r.Avoid, id)
+}
+
 // returnUnused makes a connection available to other requests.
 func (p *Pool) returnUnused(address string, c *conn) {
 	if !p.putIdle(address, c) {
@@ -186,12 +196,11 @@
 	return c, nil
 }
 
-// takeIdle removes and returns the most recently used idle connection that is still usable, or nil. An id other than 0
-// restricts it to the connection with that ID.
-func (p *Pool) takeIdle(address string, id uint64) *conn {
+// takeIdle removes and returns the most recently used idle connection that is still usable for a request, or nil.
+func (p *Pool) takeIdle(address string, request *Request) *conn {
 	now := time.Now()
 	for {
-		c := p.popIdle(address, id)
+		c := p.popIdle(address, request)
 		if c == nil {
 			return nil
 		}
@@ -205,12 +214,12 @@
 	}
 }
 
-func (p *Pool) popIdle(address string, id uint64) *conn {
+func (p *Pool) popIdle(address string, request *Request) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
 	for i := len(list) - 1; i >= 0; i-- {
-		if c := list[i]; id == 0 || c.id == id {
+		if c := list[i]; request.allows(c.id) {
 			p.idle[address] = append(list[:i], list[i+1:]...)
 			return c
 		}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -60,7 +60,7 @@
 func get(id string) *Request {
 	return &Request{
 		Method: http.MethodGet, URI: "/x", Host: "h", Header: http.Header{"Id": {id}},
-		Matches: func(_ int, header http.Header) bool { return header.Get("Id") == id },
+		Matches: func(head Head) bool { return head.Header.Get("Id") == id },
 	}
 }
 
@@ -422,3 +422,22 @@
 	assert.True(t, errorx.IsOfType(<-ended, ErrNoResponse))
 	assert.EqualValues(t, memory, pool.bodies.free.Load())
 }
+
+// Bodies of responses count towards the memory until they are released, so that callers that read slowly do not make a VM
+// hold more than its share.
+func TestBodyMemoryIsHeldUntilRelease(t *testing.T) {
+	const length = freeBodyBytes + 1000
+	text := "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: " + fmt.Sprint(length) + "\r\n\r\n" + strings.Repeat("x", length)
+	address := serveRaw(t, respondWith(text, text))
+	pool := NewPool(Options{BodyMemory: 1500})
+	held, err := do(t, pool, address, get("1"))
+	require.NoError(t, err)
+	_, err = do(t, pool, address, get("1"))
+	require.True(t, errorx.IsOfType(err, ErrMalformed), "%v", err)
+	held.Release()
+	held.Release()
+	assert.EqualValues(t, 1500, pool.bodies.free.Load())
+	next, err := do(t, pool, address, get("1"))
+	require.NoError(t, err)
+	next.Release()
+}
