Divide hot spots in time and pace the writes of the assignment

Besides, at most 6 ranges moved at a time whatever the number of targets, so a hot spot took longer to divide than it lasted. Change: the time between two writes grows with the table (0.4 ms a range); up to a sixth of a service's targets take over ranges at a time.

--- a/internal/keyspace/event.go
+++ b/internal/keyspace/event.go
@@ -109,12 +109,19 @@
 	UnresponsiveCooldown time.Duration
 	// Margin covers the delivery time of a command and the granularity of timers.
 	Margin time.Duration
-	// MaxConcurrentMoves bounds the ranges of a service that are being moved at the same time to balance load.
+	// MaxConcurrentMoves bounds the ranges of a service that are being moved at the same time to balance load, unless
+	// MovingShare allows more.
 	MaxConcurrentMoves int
+	// MovingShare is the number of ranges of a service that may be moved at the same time, as a share of its targets. A hot
+	// spot has to be divided among a share of the targets, whatever their number.
+	MovingShare float64
 	// MaxRanges bounds the ranges that one target holds, each of which needs its own renewals.
 	MaxRanges int
 	// Imbalance is the load of a target relative to the mean above which ranges are moved away from it.
 	Imbalance float64
+	// WriteIntervalPerRange is the shortest time between two writes of the table, for each of its ranges. Every VM gets every
+	// table, so the time grows with the table's size to bound the bytes per second that the leader sends.
+	WriteIntervalPerRange time.Duration
 	// RebalanceEvery is the interval between two searches for ranges to merge or move.
 	RebalanceEvery time.Duration
 }
@@ -133,9 +140,12 @@
 		UnresponsiveCooldown: 15 * time.Second,
 		Margin:               200 * time.Millisecond,
 		MaxConcurrentMoves:   6,
+		MovingShare:          1.0 / 6,
 		MaxRanges:            8,
 		Imbalance:            1.3,
 		RebalanceEvery:       500 * time.Millisecond,
+
+		WriteIntervalPerRange: 400 * time.Microsecond,
 	}
 }
 
--- a/internal/keyspace/manager.go
+++ b/internal/keyspace/manager.go
@@ -253,6 +253,7 @@
 	m.pending = nil
 	m.confirmedAt = now
 	m.nextOffset = max(m.nextOffset, table.Offset+1)
+	m.nextAppend = now.Add(time.Duration(len(table.Ranges)) * m.settings.WriteIntervalPerRange)
 	m.adopt(now, table)
 }
 
--- a/internal/keyspace/plan.go
+++ b/internal/keyspace/plan.go
@@ -352,7 +352,8 @@
 			continue
 		}
 		fair := p.fairShare(service)
-		for moves := p.countMoving(service); moves < p.m.settings.MaxConcurrentMoves && p.moveOne(service, fair); moves++ {
+		limit := max(p.m.settings.MaxConcurrentMoves, int(float64(len(p.usable[service]))*p.m.settings.MovingShare))
+		for moves := p.countMoving(service); moves < limit && p.moveOne(service, fair); moves++ {
 			changed = true
 		}
 	}
