--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -14,11 +14,13 @@
 	usefulFactor = 0.8
 	// urgentFactor is the same for urgent requests, in favor of which less urgent ones are rejected.
 	urgentFactor = 1.0
-	// deadlineFactor is the part of the time left until the deadline that the expected time of a request may take if it
+	// DeadlineFactor is the part of the time left until the deadline that the expected time of a request may take if it
 	// will miss its latency target anyway.
-	deadlineFactor = 0.8
-	// callerRoundTrip is the network round trip between the caller and this VM.
-	callerRoundTrip = 20 * time.Millisecond
+	DeadlineFactor = 0.8
+	// idleFactor is the multiple of its mean that the response time of an idle target ordinarily reaches.
+	idleFactor = 1.5
+	// CallerRoundTrip is the network round trip between the caller and this VM.
+	CallerRoundTrip = 20 * time.Millisecond
 	// maxRetryShare bounds RetryAfter as a part of the time left: a caller doesn't retry if it would have to wait longer.
 	maxRetryShare = 1.0 / 3
 	// minRetryAfter keeps callers from retrying before the load can have changed.
@@ -34,6 +36,8 @@
 	// LatencyTarget is the time since the caller's first attempt within which a response has its full value; 0 if
 	// unknown.
 	LatencyTarget time.Duration
+	// Work is the expected response time of an idle target.
+	Work time.Duration
 	// PreviouslyRejected is true if this is not the first attempt of the request, for example because an earlier one was
 	// rejected.
 	PreviouslyRejected bool
@@ -58,8 +62,8 @@
 	if request.LatencyTarget <= 0 {
 		return Decision{Send: true}
 	}
-	useful := request.LatencyTarget - request.Elapsed - callerRoundTrip
-	if useful <= 0 || request.PreviouslyRejected {
+	useful := request.LatencyTarget - request.Elapsed - CallerRoundTrip
+	if float64(useful) <= float64(request.Work)*idleFactor || request.PreviouslyRejected {
 		return decideLate(request, expected)
 	}
 	factor := usefulFactor
@@ -72,10 +76,10 @@
 	return Decision{Send: true}
 }
 
-// decideLate sends a request that is late already or was rejected before if it can meet its deadline, because its
-// caller will not retry again.
+// decideLate sends a request that cannot meet its latency target even at an idle target, or was rejected before, if it can
+// meet its deadline: its caller would gain nothing by retrying, or will not retry again.
 func decideLate(request Request, expected time.Duration) Decision {
-	if float64(expected) > float64(request.TimeLeft)*deadlineFactor {
+	if float64(expected) > float64(request.TimeLeft)*DeadlineFactor {
 		return reject(request, expected, "expected time exceeds the time left")
 	}
 	return Decision{Send: true}
@@ -87,3 +91,11 @@
 	limit := time.Duration(float64(request.TimeLeft) * maxRetryShare)
 	return Decision{RetryAfter: min(max(minRetryAfter, excess), limit), Reason: reason}
 }
+
+// SpreadRetryAfter returns a delay after which the caller of a rejected request may retry, between minRetryAfter and the
+// longest that a caller waits. random is a number in [0, 1).
+func SpreadRetryAfter(timeLeft time.Duration, random float64) time.Duration {
+	limit := float64(timeLeft) * maxRetryShare
+	shortest := min(float64(minRetryAfter), limit)
+	return time.Duration(shortest + random*(limit-shortest))
+}
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -85,3 +85,15 @@
 	assert.Greater(t, boundedInTime, 2*unboundedInTime)
 	assert.Greater(t, boundedInTime, unboundedInTime+unboundedLate/2)
 }
+
+// Guards against a request that is rejected after it has waited at the VM, only because an idle target could not respond
+// within its latency target any more; a moment later it would be sent as late.
+func TestRequestThatWaitedIsSentLate(t *testing.T) {
+	request := Request{
+		Elapsed: 1900 * time.Millisecond, TimeLeft: time.Second, LatencyTarget: 2 * time.Second, Work: 240 * time.Millisecond,
+	}
+	assert.True(t, Decide(request, 250*time.Millisecond).Send)
+	assert.False(t, Decide(request, 900*time.Millisecond).Send, "it would miss its deadline")
+	request.Elapsed = time.Second
+	assert.False(t, Decide(request, time.Second).Send, "its caller may find a target without a queue")
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -41,6 +41,8 @@
 type Registry struct {
 	regions map[model.Zone]model.Region
 	entries map[model.TargetID]*entry
+	// byService caches the entries of each service in order of their IDs; nil after a change of the entries.
+	byService map[model.Service][]*entry
 	// evacuated holds the zones that get no requests, restoredAt when a zone was last restored to service.
 	evacuated  map[model.Zone]bool
 	restoredAt map[model.Zone]model.Instant
@@ -87,6 +89,7 @@
 	known := r.entries[target.ID]
 	if known == nil {
 		r.entries[target.ID] = &entry{target: target, readAt: now}
+		r.byService = nil
 		r.version++
 		return true
 	}
@@ -94,6 +97,9 @@
 		return false
 	}
 	changed := known.dropAt != 0 || known.failedAt != 0 || !sameTarget(known.target, target)
+	if known.target.Service != target.Service {
+		r.byService = nil
+	}
 	known.target = target
 	known.readAt = now
 	known.dropAt = 0
@@ -125,6 +131,7 @@
 		return false
 	}
 	delete(r.entries, id)
+	r.byService = nil
 	r.version++
 	return true
 }
@@ -146,6 +153,7 @@
 	for id, e := range r.entries {
 		if e.dropAt != 0 && now >= e.dropAt && !r.outage {
 			delete(r.entries, id)
+			r.byService = nil
 			r.version++
 			dropped = append(dropped, id)
 		}
@@ -313,15 +321,26 @@
 
 // Service returns the targets of a service in order of their IDs.
 func (r *Registry) Service(now model.Instant, service model.Service) []Entry {
-	var list []Entry
-	for _, e := range r.entries {
-		if e.target.Service == service {
-			list = append(list, r.entry(now, e))
-		}
+	if r.byService == nil {
+		r.groupByService()
+	}
+	entries := r.byService[service]
+	list := make([]Entry, len(entries))
+	for i, e := range entries {
+		list[i] = r.entry(now, e)
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Target.ID < list[j].Target.ID })
 	return list
 }
 
+func (r *Registry) groupByService() {
+	r.byService = map[model.Service][]*entry{}
+	for _, e := range r.entries {
+		r.byService[e.target.Service] = append(r.byService[e.target.Service], e)
+	}
+	for _, list := range r.byService {
+		sort.Slice(list, func(i, j int) bool { return list[i].target.ID < list[j].target.ID })
+	}
+}
+
 // Len returns the number of registered targets.
 func (r *Registry) Len() int { return len(r.entries) }
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -41,6 +41,10 @@
 func (b *WindowBudget) Take(now model.Instant, burst float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.take(now, b.share, burst)
+}
+
+func (b *WindowBudget) take(now model.Instant, share, burst float64) bool {
 	b.advance(now)
 	allowed := burst
 	spent := 0.0
@@ -48,7 +52,7 @@
 		spent += b.retries[i]
 		if age := b.current - b.stepOf(i); age < windowSteps-1 {
 			// The two oldest steps may lie outside of the window, so only their retries count.
-			allowed += b.share * b.requests[i]
+			allowed += share * b.requests[i]
 		}
 	}
 	if spent+1 > allowed {
@@ -58,6 +62,25 @@
 	return true
 }
 
+// TakePart is Take with only a part of what the share and the burst allow; the rest is left to calls of Take.
+func (b *WindowBudget) TakePart(now model.Instant, part, burst float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.take(now, part*b.share, part*burst)
+}
+
+// Rate returns the number of requests per second in the window that ends now.
+func (b *WindowBudget) Rate(now model.Instant) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	sum := 0.0
+	for _, requests := range b.requests {
+		sum += requests
+	}
+	return sum / (float64(len(b.requests)) * b.step.Seconds())
+}
+
 func (b *WindowBudget) slot() int { return int(b.current % int64(len(b.requests))) }
 
 // stepOf returns the number of the step whose counts are in a slot of the ring buffers.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -154,6 +154,13 @@
 	return c.id
 }
 
+// HasIdle reports whether there is an idle connection to an address. It may have been closed by the target since.
+func (p *Pool) HasIdle(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[address]) > 0
+}
+
 // CloseIdle closes the idle connections to an address.
 func (p *Pool) CloseIdle(address string) {
 	p.mu.Lock()
