Place, hedge and reject requests by what hundreds of VMs need

Change: a VM uses its subset while that has free slots, and prefers targets to which it has a connection. A hedge is made while it can still meet the latency target, only where a slot is free, and not at the owner of a key early. Requests that an owner rejects count as load of their keys. Ranks and the number of VMs divide limits only once they are settled and confirmed, ranks for three reports; a VM that does not know the number of VMs has no share of the retry burst (before, it assumed 100 VMs, which 295 VMs exceed). Failed reads of the store are retried every 0.6 s instead of 0.4 s. The fixture of the gateway's tests waits for the settled position, because they retry.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -11,6 +11,7 @@
 
 	"github.com/tarragonpoint/tarragonpoint/internal/fleet"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/overload"
 	"github.com/tarragonpoint/tarragonpoint/internal/picker"
 	"github.com/tarragonpoint/tarragonpoint/internal/registry"
 	"github.com/tarragonpoint/tarragonpoint/internal/result"
@@ -40,7 +41,7 @@
 	results := make(chan attemptResult, maxParallelAttempts)
 	g.launch(callCtx, j, chosen, results)
 	inFlight := 1
-	hedge := time.NewTimer(hedgeDelay(j, chosen))
+	hedge := time.NewTimer(g.hedgeDelay(now, j, chosen))
 	defer hedge.Stop()
 	for {
 		select {
@@ -96,19 +97,32 @@
 	hedgeFactor = 2.5
 	// minHedgeDelay keeps short requests from being hedged after a brief delay.
 	minHedgeDelay = 250 * time.Millisecond
-	// hedgeBurstShare is the share of the retry burst that hedges may use. The rest is left for retries of rejected
-	// requests.
-	hedgeBurstShare = 0.5
+	// hedgeShare is the share of the retry budget that hedges may use. The rest is left for retries of rejected requests.
+	hedgeShare = 0.7
 	// never is a delay that exceeds every deadline.
 	never = time.Hour
 )
 
 // hedgeDelay returns the delay after which a second attempt is made in parallel with the first.
-func hedgeDelay(j *job, chosen placement) time.Duration {
+func (g *gateway) hedgeDelay(now model.Instant, j *job, chosen placement) time.Duration {
 	if j.route.Kind != fleet.Idempotent || j.sends >= max(maxParallelAttempts, j.route.MaxAttempts) {
 		return never
 	}
-	return max(minHedgeDelay, time.Duration(hedgeFactor*float64(chosen.estimate.Total)))
+	delay := time.Duration(hedgeFactor * float64(chosen.estimate.Total))
+	if latest, known := g.latestUsefulHedge(now, j); known && !chosen.isOwner {
+		delay = min(delay, latest)
+	}
+	return max(minHedgeDelay, delay)
+}
+
+// latestUsefulHedge returns the delay until the latest time at which a second attempt at an idle target is expected to
+// respond within the route's latency target. It returns false if there is no such time.
+func (g *gateway) latestUsefulHedge(now model.Instant, j *job) (time.Duration, bool) {
+	if j.route.LatencyTarget <= 0 {
+		return 0, false
+	}
+	latest := j.route.LatencyTarget - g.elapsed(now, j) - overload.CallerRoundTrip - g.picker.Work(j.route.Name)
+	return latest, latest > 0
 }
 
 // hedge makes a second attempt and returns true if the time left, the targets and the retry budget allow it.
@@ -121,7 +135,11 @@
 		return false
 	}
 	chosen := g.chooseTarget(j)
-	if chosen.action != actionSend || !g.budget(j.service).Take(now, g.retryBurst()*hedgeBurstShare) {
+	// A second attempt that would wait behind other requests only adds to the load that delays the first one.
+	if chosen.action != actionSend || !chosen.estimate.HasFreeSlot(chosen.target.Slots) {
+		return false
+	}
+	if !g.budget(j.service).TakePart(now, hedgeShare, g.retryBurst()) {
 		return false
 	}
 	g.metrics.hedge(string(j.service))
@@ -157,7 +175,7 @@
 		outcome := classify(response, err)
 		g.picker.End(end, ticket, pickerResult(response, outcome, isCanceled(caller, route, err)))
 		g.countBytes(route.Name, &chosen.target, len(call.Body), response)
-		g.recordAttempt(end, service, key, chosen, response, err, end.Sub(now))
+		g.recordAttempt(end, route.Name, service, key, chosen, response, err, end.Sub(now))
 		results <- attemptResult{
 			placement: chosen, response: response, err: err, outcome: outcome, targetUnavailable: unavailable,
 		}
@@ -176,11 +194,6 @@
 	return !entry.Leaving && entry.State != registry.Paused
 }
 
-// retryBurst returns this VM's share of the burst of the common retry budget.
-func (g *gateway) retryBurst() float64 {
-	return g.settings.RetryBurst * retryBurstFactor / g.fleetSize()
-}
-
 // attemptContext returns a context that ends at the request's deadline. When the caller disconnects, only an idempotent
 // request is canceled. Any other request that has been sent is left to complete, because a cancellation would leave its
 // outcome unknown to the target.
@@ -241,8 +254,10 @@
 
 // pickerResult returns what an attempt tells about its target.
 func pickerResult(response *platform.Response, outcome attemptOutcome, canceled bool) picker.Result {
+	// A target that asked for a pause gets no requests until it accepts them again, so the rejection predicts no others.
+	isPause := response != nil && response.Pause > 0
 	r := picker.Result{
-		Responded: outcome == attemptResponded, Failed: outcome != attemptResponded && !canceled, Canceled: canceled,
+		Responded: outcome == attemptResponded, Failed: outcome != attemptResponded && !canceled && !isPause, Canceled: canceled,
 	}
 	if response != nil && response.Load != nil {
 		r.Report = &picker.Report{
@@ -271,11 +286,16 @@
 
 // recordAttempt updates the load of the key, the connection pool and the registry after an attempt.
 func (g *gateway) recordAttempt(
-	now model.Instant, service model.Service, key int, chosen placement, response *platform.Response, err error,
-	took time.Duration,
+	now model.Instant, route string, service model.Service, key int, chosen placement, response *platform.Response,
+	err error, took time.Duration,
 ) {
 	if key >= 0 && g.state.config.Load().Services[service].Keyed {
-		g.work.add(service, key, min(took, maxKeyWork))
+		if response != nil && response.NotRun && !response.KeyNotHeld {
+			g.countRejectedWork(route, service, key)
+		} else {
+			g.work.add(service, key, min(took, maxKeyWork))
+			g.throttle.Accepted(now, chosen.target.Incarnation())
+		}
 	}
 	if err != nil && errorx.IsOfType(err, upstream.ErrTimeout) && took > connectionSuspectAfter {
 		// The connections to the target may be broken without an error, which only a timeout reveals.
--- a/internal/gateway/availability_test.go
+++ b/internal/gateway/availability_test.go
@@ -79,7 +79,8 @@
 	assert.Less(t, time.Since(started), 500*time.Millisecond, "it is known at once that no target takes the request in time")
 	assert.Equal(t, before, f.targets["d-2"].Arrivals())
 	f.setModes(platformstub.Serve, "d-1", "d-2")
-	assert.Equal(t, http.StatusOK, f.send(http.MethodGet, "/reads/1", "late", "").status)
+	late := f.send(http.MethodGet, "/reads/1", "late", "")
+	assert.Equal(t, http.StatusOK, late.status, "%s%v", late.body, late.header)
 }
 
 // A request whose target announced its stop, or asked for a pause, while the request waited for its connection is not sent
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -25,6 +25,9 @@
 	// assignmentReadInterval is the shortest time between two reads of the assignment. While load shifts, a leader
 	// writes several tables per second, each of which would wake every VM that reads the store directly.
 	assignmentReadInterval = 400 * time.Millisecond
+	// assignmentReadIntervalPerRange is added for each range of the assignment, because all VMs that read the store directly
+	// read each table whole.
+	assignmentReadIntervalPerRange = time.Millisecond
 	// leaderPollWait and leaderReadInterval are the poll wait and the read interval of the leader, whose reads all VMs
 	// depend on.
 	leaderPollWait     = 400 * time.Millisecond
@@ -32,10 +35,11 @@
 	// targetsReadInterval is the time between two reads of the targets' reports. A target that leaves must get no work
 	// 2 s after its last report.
 	targetsReadInterval = 800 * time.Millisecond
-	// readRetryDelay is the delay before a failed read is retried; it grows up to maxReadRetryDelay. The delays are
-	// randomized, because many VMs read at once when the store recovers.
+	// readRetryDelay is the delay before a failed read is retried; it doubles up to maxReadRetryDelay. The delays are
+	// randomized, because many VMs read at once when the store recovers. While the store turns hundreds of VMs away, their
+	// retries are most of the calls that it gets.
 	readRetryDelay    = 200 * time.Millisecond
-	maxReadRetryDelay = 400 * time.Millisecond
+	maxReadRetryDelay = 600 * time.Millisecond
 	// topicRelistAge and assignmentRelistAge are the ages of the local state from which a VM lists the newest records of
 	// a topic instead of reading the ones it missed. In one second 370 targets write 65 KB of reports and a leader
 	// several tables of 20 KB; the lists are 150 and 27 KB. After a network partition of 12 s, the missed records of
@@ -57,8 +61,8 @@
 	gw    *gateway
 	// pollWait returns how long a read waits for a record.
 	pollWait func() time.Duration
-	// readInterval is the shortest time between the starts of two reads.
-	readInterval time.Duration
+	// readInterval returns the shortest time between the starts of two reads.
+	readInterval func() time.Duration
 	// relistAge is the age of the local state from which the topic is listed instead of read from the next offset.
 	relistAge time.Duration
 	// leaderPollWait is how long a read by the leader waits for a record; 0 makes it read every leaderReadInterval.
@@ -126,7 +130,11 @@
 
 // backoff returns the randomized delay after a number of consecutive failed reads.
 func backoff(failures int) time.Duration {
-	wait := min(maxReadRetryDelay, readRetryDelay*time.Duration(failures))
+	wait := readRetryDelay
+	for i := 1; i < failures && wait < maxReadRetryDelay; i++ {
+		wait *= 2
+	}
+	wait = min(maxReadRetryDelay, wait)
 	return wait/2 + time.Duration(rand.Int64N(int64(wait)))
 }
 
@@ -175,7 +183,7 @@
 
 func (f *topicFollower) currentReadInterval() time.Duration {
 	if !f.gw.controller.isLeader.Load() {
-		return f.readInterval
+		return f.readInterval()
 	}
 	if f.leaderPollWait > 0 {
 		return 0
@@ -265,7 +273,7 @@
 		return
 	}
 	relayed := f.applyRecords(now, []platform.Record{record})
-	f.nextOffset = record.Offset + 1
+	f.nextOffset, f.confirmedAt = record.Offset+1, now
 	if f.gw.controller.isLeader.Load() {
 		f.gw.relay(f.topic, record.Offset, f.nextOffset, 0, relayed)
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -59,6 +59,8 @@
 		f.register(id, service, "a", "ready")
 	}
 	f.gateway = f.startVM("vm-1")
+	// Until then the VM has no share of the burst of the retry budget.
+	require.Eventually(t, func() bool { return f.gateway.counted.Load() != nil }, settleTime, 10*time.Millisecond)
 	return f
 }
 
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -7,6 +7,7 @@
 	"github.com/tarragonpoint/tarragonpoint/internal/fleet"
 	"github.com/tarragonpoint/tarragonpoint/internal/hub"
 	"github.com/tarragonpoint/tarragonpoint/internal/logging"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
 	"github.com/tarragonpoint/tarragonpoint/internal/registry"
 	"github.com/tarragonpoint/tarragonpoint/platform"
 )
@@ -61,8 +62,39 @@
 	if !g.controller.isLeader.Load() {
 		return
 	}
-	position := g.hub.HandleReport(g.report())
+	g.setPosition(g.hub.HandleReport(g.report()))
+}
+
+// countedPosition is a settled position and when this VM received it.
+type countedPosition struct {
+	hub.Position
+	at model.Instant
+}
+
+func (g *gateway) setPosition(position hub.Position) {
 	g.position.Store(&position)
+	if position.Settled {
+		g.counted.Store(&countedPosition{Position: position, at: g.clock.Now()})
+	}
+}
+
+// currentRank returns this VM's position for limits that are divided by rank, or nil if it may be out of date: several VMs
+// could then act under the same rank.
+func (g *gateway) currentRank(now model.Instant) *hub.Position {
+	counted := g.counted.Load()
+	if counted == nil || now.Sub(counted.at) > hub.PositionTTL {
+		return nil
+	}
+	return &counted.Position
+}
+
+// leadershipConfirmed reports whether the store has recently confirmed that the assignment that names this VM as the leader
+// is the newest.
+func (g *gateway) leadershipConfirmed() bool {
+	f := g.follower(topicAssignment)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return g.clock.Now().Sub(f.confirmedAt) < hub.PositionTTL
 }
 
 func (g *gateway) report() hub.Report {
@@ -105,7 +137,7 @@
 			return err
 		}
 		if push.Position != nil {
-			g.position.Store(push.Position)
+			g.setPosition(*push.Position)
 		}
 		if push.Batch != nil {
 			g.applyBatch(push.Batch)
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -15,9 +15,8 @@
 	loadTimeConstant = 3 * time.Second
 	// minDecayInterval is the shortest time between two decays of a load, because each decay updates all buckets.
 	minDecayInterval = 250 * time.Millisecond
-	// assumedVMs is the number of VMs among which common budgets are divided until the leader has reported the actual
-	// number. It is above the number of VMs of any deployment in use, so that no budget is exceeded.
-	assumedVMs = 100
+	// joinMargin is the factor by which the number of VMs may have grown since the leader counted them.
+	joinMargin = 1.25
 )
 
 // keyWork accumulates this VM's work per key bucket until it is reported to the leader.
@@ -111,12 +110,14 @@
 	return &copied
 }
 
-// fleetSize returns the number of VMs among which common budgets are divided. It adds a quarter and 1 to the leader's
-// count, because VMs may have joined since.
-func (g *gateway) fleetSize() float64 {
-	known := g.position.Load()
+// retryBurst returns this VM's share of the burst of the common retry budget. It is 0 until the leader has reported the
+// number of VMs, because no share of an unknown number is known to keep the budget when all VMs have just started.
+func (g *gateway) retryBurst() float64 {
+	known := g.counted.Load()
 	if known == nil {
-		return assumedVMs
+		return 0
 	}
-	return float64(known.VMs)*1.25 + 1
+	// VMs may have joined since the leader counted them.
+	vms := float64(known.VMs)*joinMargin + 1
+	return g.settings.RetryBurst * retryBurstFactor / vms
 }
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/tarragonpoint/tarragonpoint/internal/fleet"
@@ -9,6 +11,7 @@
 	"github.com/tarragonpoint/tarragonpoint/internal/picker"
 	"github.com/tarragonpoint/tarragonpoint/internal/registry"
 	"github.com/tarragonpoint/tarragonpoint/internal/result"
+	"github.com/tarragonpoint/tarragonpoint/internal/subset"
 )
 
 type placementAction uint8
@@ -23,6 +26,8 @@
 type placement struct {
 	action placementAction
 	target fleet.Target
+	// isOwner is true if the target is the only one that may serve the request, as the owner of its key.
+	isOwner bool
 	// age is the time since the target's last report was read; set for keyed services only.
 	age      time.Duration
 	estimate picker.Estimate
@@ -57,7 +62,10 @@
 }
 
 func (g *gateway) pickerRequest(j *job) picker.Request {
-	return picker.Request{Route: j.route.Name, Zone: model.Zone(g.settings.Zone), Region: model.Region(g.settings.Region)}
+	return picker.Request{
+		Route: j.route.Name, Zone: model.Zone(g.settings.Zone), Region: model.Region(g.settings.Region),
+		IsConnected: g.targets.Pool().HasIdle,
+	}
 }
 
 // placeUnkeyed chooses among all targets of a service without keys. Cold targets are included up to their rate limit.
@@ -67,7 +75,7 @@
 	if len(targets) == 0 {
 		targets = g.eligible(now, j, service, entries, false)
 	}
-	choice, found := g.picker.Choose(now, g.pickerRequest(j), targets)
+	targets, choice, found := g.chooseAmong(now, j, targets)
 	if !found {
 		if pause := shortestPause(j, entries); pause > 0 {
 			return g.waitForPause(now, j, pause)
@@ -79,13 +87,43 @@
 	if decision := g.decideOverload(now, j, choice.Estimate.Total); !decision.Send {
 		return rejectOverloaded(decision, choice.Estimate)
 	}
-	target := targets[choice.Index]
+	target := *targets[choice.Index]
 	if now < target.ColdUntil && !g.allowCold(now, service, target.Incarnation(), true) {
 		return placement{action: actionWait, wait: coldRecheckDelay}
 	}
 	return placement{action: actionSend, target: target, estimate: choice.Estimate}
 }
 
+// chooseAmong chooses a target from this VM's subset of the given ones, and from all of them if no target of the subset has
+// a free slot. It returns the list to which the choice refers, and false if there is no target.
+func (g *gateway) chooseAmong(now model.Instant, j *job, targets []*fleet.Target) ([]*fleet.Target, picker.Choice, bool) {
+	request := g.pickerRequest(j)
+	size := g.subsetSize(now, j)
+	chosen := withCold(now, subset.Of(g.settings.VM, request.Region, targets, size), targets)
+	choice, found := g.picker.Choose(now, request, chosen)
+	if !found || len(chosen) == len(targets) || choice.Estimate.HasFreeSlot(chosen[choice.Index].Slots) {
+		return chosen, choice, found
+	}
+	choice, found = g.picker.Choose(now, request, targets)
+	return targets, choice, found
+}
+
+// withCold adds the cold targets to a subset. Only a few VMs send to a cold target, so it would warm up late if it had to be
+// in their subsets.
+func withCold(now model.Instant, chosen, targets []*fleet.Target) []*fleet.Target {
+	for _, target := range targets {
+		if now < target.ColdUntil && !slices.Contains(chosen, target) {
+			chosen = append(chosen, target)
+		}
+	}
+	return chosen
+}
+
+// subsetSize returns the number of targets of a service that this VM uses while they have free slots.
+func (g *gateway) subsetSize(now model.Instant, j *job) int {
+	return subset.Size(g.budget(j.service).Rate(now))
+}
+
 // shortestPause returns the time until the first of the paused targets that may serve a request gets requests again; 0 if
 // none is paused.
 func shortestPause(j *job, entries []registry.Entry) time.Duration {
@@ -102,7 +140,8 @@
 // waitForPause makes a request wait until its targets want requests again, if there is time to run it then, and rejects it
 // at once otherwise or if this VM is draining. The rejection tells the caller when the pause ends.
 func (g *gateway) waitForPause(now model.Instant, j *job, pause time.Duration) placement {
-	if pause+g.picker.Work(j.route.Name) > j.timeLeft(now) || g.draining.Load() {
+	response := pause + g.picker.Work(j.route.Name)
+	if float64(response) > float64(j.timeLeft(now))*overload.DeadlineFactor || g.draining.Load() {
 		return placement{action: actionReject, response: reject(result.Overloaded, "targets asked for a pause", pause)}
 	}
 	return placement{action: actionWait, wait: pause}
@@ -112,15 +151,15 @@
 	now model.Instant, service fleet.Service, incarnation fleet.Incarnation, consume bool,
 ) bool {
 	maxRate := service.ColdRate*g.settings.ColdFactor + g.settings.ColdBurst
-	return g.cold.allow(now, incarnation, maxRate, g.position.Load(), consume)
+	return g.cold.allow(now, incarnation, maxRate, g.currentRank(now), consume)
 }
 
 // eligible returns the targets that may receive the request now. With skipTried, targets that already had an attempt
 // are left out.
 func (g *gateway) eligible(
 	now model.Instant, j *job, service fleet.Service, entries []registry.Entry, skipTried bool,
-) []fleet.Target {
-	var targets []fleet.Target
+) []*fleet.Target {
+	targets := make([]*fleet.Target, 0, len(entries))
 	for i := range entries {
 		target := &entries[i].Target
 		if entries[i].State == registry.Unavailable || entries[i].State == registry.Paused || !j.route.AllowsRegion(target.Region) {
@@ -132,7 +171,7 @@
 		if entries[i].State == registry.Cold && !g.allowCold(now, service, target.Incarnation(), false) {
 			continue
 		}
-		targets = append(targets, *target)
+		targets = append(targets, target)
 	}
 	return targets
 }
@@ -141,11 +180,16 @@
 func (g *gateway) decideOverload(now model.Instant, j *job, expected time.Duration) overload.Decision {
 	before := g.deadlines.elapsed(j.route.Name, j.callerHeaders.Timeout)
 	return overload.Decide(overload.Request{
-		Elapsed: before + now.Sub(j.arrived), TimeLeft: j.timeLeft(now), LatencyTarget: j.route.LatencyTarget,
+		Elapsed: g.elapsed(now, j), TimeLeft: j.timeLeft(now), LatencyTarget: j.route.LatencyTarget, Work: g.picker.Work(j.route.Name),
 		PreviouslyRejected: before > 0 || j.sends > 0, Urgent: g.isUrgent(j),
 	}, expected)
 }
 
+// elapsed returns the time since the first attempt of the request's caller, as far as known.
+func (g *gateway) elapsed(now model.Instant, j *job) time.Duration {
+	return g.deadlines.elapsed(j.route.Name, j.callerHeaders.Timeout) + now.Sub(j.arrived)
+}
+
 // isUrgent reports whether the service has routes that are less urgent than the request's.
 func (g *gateway) isUrgent(j *job) bool {
 	return j.route.Priority < g.state.config.Load().LeastUrgent(j.service)
@@ -195,11 +239,31 @@
 	if entry.State == registry.Cold && !g.allowCold(now, service, r.Owner.Incarnation, true) {
 		return g.waitForOwner(now, j, "owner is cold")
 	}
+	if !g.throttle.Allow(now, r.Owner.Incarnation, g.isUrgent(j), rand.Float64()) {
+		return g.rejectThrottled(now, j)
+	}
 	estimate := g.picker.Estimate(now, g.pickerRequest(j), &entry.Target)
 	if decision := g.decideOverload(now, j, estimate.Total); !decision.Send {
+		g.countRejectedWork(j.route.Name, j.service, j.callerHeaders.Key)
 		return rejectOverloaded(decision, estimate)
 	}
-	return placement{action: actionSend, target: entry.Target, age: entry.Age, estimate: estimate}
+	return placement{action: actionSend, target: entry.Target, isOwner: true, age: entry.Age, estimate: estimate}
+}
+
+// rejectThrottled rejects a request whose owner rejects most requests. The callers return at random times, spread over as
+// long as they are ready to wait: part of the keys may have another owner by then.
+func (g *gateway) rejectThrottled(now model.Instant, j *job) placement {
+	g.countRejectedWork(j.route.Name, j.service, j.callerHeaders.Key)
+	return placement{
+		action:   actionReject,
+		response: reject(result.Overloaded, "owner rejects most requests", overload.SpreadRetryAfter(j.timeLeft(now), rand.Float64())),
+	}
+}
+
+// countRejectedWork adds the work of a request that was rejected because the owner of its key is overloaded to the key's
+// load. Otherwise the load of a hot spot would seem to be what its owner can serve, and too few of its keys would move.
+func (g *gateway) countRejectedWork(route string, service model.Service, key int) {
+	g.work.add(service, key, min(g.picker.Work(route), maxKeyWork))
 }
 
 // waitForOwner makes a request wait for the next owner of its key while there is time to run it, and rejects it
--- a/internal/gateway/role.go
+++ b/internal/gateway/role.go
@@ -27,6 +27,7 @@
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
 	"github.com/tarragonpoint/tarragonpoint/internal/picker"
 	"github.com/tarragonpoint/tarragonpoint/internal/retry"
+	"github.com/tarragonpoint/tarragonpoint/internal/throttle"
 	"github.com/tarragonpoint/tarragonpoint/internal/upstream"
 	"github.com/tarragonpoint/tarragonpoint/platform"
 )
@@ -67,6 +68,7 @@
 	targets    *platform.TargetClient
 	state      *state
 	picker     *picker.Picker
+	throttle   *throttle.Throttle
 	controller *controller
 	// leaderChanged wakes the goroutine that sends reports when the leader changes.
 	leaderChanged chan struct{}
@@ -91,6 +93,8 @@
 
 	// position is this VM's position among all VMs as last reported by the leader; nil before the first report.
 	position atomic.Pointer[hub.Position]
+	// counted is the last settled position; nil before the first one.
+	counted atomic.Pointer[countedPosition]
 
 	budgetsMu sync.Mutex
 	budgets   map[model.Service]budget
@@ -130,10 +134,10 @@
 		state: newState(regions), picker: picker.New(rand.Float64), work: newKeyWork(),
 		leaderChanged: make(chan struct{}, 1), outage: newStoreOutage(),
 		watched: newWatchList(), split: newSplitter(), cold: newColdLimiter(), deadlines: newDeadlineTracker(),
-		budgets: map[model.Service]budget{},
+		budgets: map[model.Service]budget{}, throttle: throttle.New(),
 	}
 	g.load = newKeyLoad(g.clock.Now)
-	g.hub = hub.NewServer(g.clock.Now, func() bool { return g.controller.isLeader.Load() }, g.handleReport)
+	g.hub = hub.NewServer(g.clock.Now, func() bool { return g.controller.isLeader.Load() }, g.leadershipConfirmed, g.handleReport)
 	g.requestsContext, g.cancelRequests = context.WithCancel(context.Background())
 	incarnation := strconv.FormatUint(rand.Uint64(), 36)
 	g.controller = newController(g, settings.VM+"/"+incarnation)
@@ -200,6 +204,7 @@
 	for ctx.Err() == nil {
 		now := g.clock.Now()
 		g.picker.Forget(now, statsRetention)
+		g.throttle.Forget(now, statsRetention)
 		if ready := g.ready(); ready != wasReady {
 			wasReady = ready
 			g.log.Part(logging.Entry).Event("readiness changes", logging.State(strconv.FormatBool(ready)))
--- a/internal/gateway/topics.go
+++ b/internal/gateway/topics.go
@@ -14,7 +14,8 @@
 	return &topicFollower{
 		name: "operator", topic: platform.TopicOperator, gw: g,
 		pollWait: func() time.Duration { return operatorPollWait }, leaderPollWait: leaderPollWait, relistAge: topicRelistAge,
-		applyList: g.listOperator,
+		readInterval: func() time.Duration { return 0 },
+		applyList:    g.listOperator,
 		applyRecord: func(now model.Instant, record platform.Record) *relayedRecord {
 			g.applyOperator(now, record)
 			return fullRecord(record)
@@ -78,9 +79,10 @@
 
 func (g *gateway) targetFollower() *topicFollower {
 	f := &topicFollower{
-		name: "targets", topic: platform.TopicTargets, gw: g, readInterval: targetsReadInterval, relistAge: topicRelistAge,
-		pollWait:  func() time.Duration { return 0 },
-		applyList: g.listTargets,
+		name: "targets", topic: platform.TopicTargets, gw: g, relistAge: topicRelistAge,
+		readInterval: func() time.Duration { return targetsReadInterval },
+		pollWait:     func() time.Duration { return 0 },
+		applyList:    g.listTargets,
 		applyRecord: func(now model.Instant, record platform.Record) *relayedRecord {
 			if !g.changeTarget(now, record) && !g.watched.has(now, model.TargetID(record.Key)) {
 				return nil
@@ -211,7 +213,7 @@
 func (g *gateway) tableFollower() *topicFollower {
 	return &topicFollower{
 		name: "assignment", topic: topicAssignment, gw: g,
-		readInterval: assignmentReadInterval, relistAge: assignmentRelistAge,
+		readInterval: g.assignmentReadInterval, relistAge: assignmentRelistAge,
 		pollWait:    func() time.Duration { return assignmentPollWait },
 		applyList:   g.listTables,
 		applyRecord: g.changeTable,
@@ -220,6 +222,15 @@
 	}
 }
 
+// assignmentReadInterval returns the shortest time between two reads of the assignment by a VM to which no leader relays it.
+func (g *gateway) assignmentReadInterval() time.Duration {
+	interval := assignmentReadInterval
+	if table := g.state.table.Load(); table != nil {
+		interval += time.Duration(len(table.Ranges)) * assignmentReadIntervalPerRange
+	}
+	return interval
+}
+
 // changeTable applies a record of the assignment and returns the record to relay: a delta if it can be encoded.
 func (g *gateway) changeTable(_ model.Instant, record platform.Record) *relayedRecord {
 	table := g.decodeTable(record)
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -38,6 +38,11 @@
 	// receiveTimeout is the time without a push after which a VM treats its link as failed. The leader pushes several
 	// times a second.
 	receiveTimeout = 1500 * time.Millisecond
+	// settleTime is how long VMs may take to connect to a new leader. It exceeds PositionTTL, so that no VM still uses its
+	// position under the former leader when the first one under the new leader is settled.
+	settleTime = 2 * time.Second
+	// PositionTTL is how long a position may be used to divide common limits by rank: three reports.
+	PositionTTL = 3 * ReportInterval
 	// memberTTL is the time after its last report for which a VM counts as a member and its link is kept open.
 	memberTTL = 3 * time.Second
 	// pushQueueLength is the number of pushes queued for a slow VM before its link is closed.
@@ -74,6 +79,9 @@
 	Rank int
 	// Candidate is true for the few VMs that stay in the election group while the leader is responsive.
 	Candidate bool
+	// Settled is true if VMs and Rank are safe to divide common limits by. They are not while VMs are still connecting to a
+	// new leader, or when the leader may have been replaced.
+	Settled bool
 }
 
 // Record is a record of a topic that the leader relays.
@@ -110,10 +118,15 @@
 	onReport func(Report)
 	// isLeader reports whether this VM is the leader; otherwise it serves no links.
 	isLeader func() bool
+	// isConfirmed reports whether the store has recently confirmed that this VM is the leader.
+	isConfirmed func() bool
 
 	mu      sync.Mutex
 	members map[string]member
 	links   map[*serverLink]bool
+	// servingSince is when this VM handled its first report since it became the leader, lastReportAt when the last one.
+	servingSince model.Instant
+	lastReportAt model.Instant
 }
 
 type serverLink struct {
@@ -122,9 +135,10 @@
 }
 
 // NewServer returns a server that calls onReport for each report.
-func NewServer(now func() model.Instant, isLeader func() bool, onReport func(Report)) *Server {
+func NewServer(now func() model.Instant, isLeader, isConfirmed func() bool, onReport func(Report)) *Server {
 	return &Server{
-		now: now, isLeader: isLeader, onReport: onReport, members: map[string]member{}, links: map[*serverLink]bool{},
+		now: now, isLeader: isLeader, isConfirmed: isConfirmed, onReport: onReport,
+		members: map[string]member{}, links: map[*serverLink]bool{},
 	}
 }
 
@@ -182,16 +196,24 @@
 // which arrive over no link.
 func (s *Server) HandleReport(report Report) Position {
 	s.onReport(report)
+	isConfirmed := s.isConfirmed()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
+	if s.lastReportAt == 0 || now.Sub(s.lastReportAt) > settleTime {
+		// The leader handles its own reports several times a second, so a pause means that it was not the leader.
+		s.servingSince = now
+	}
+	s.lastReportAt = now
 	s.members[report.VM] = member{reportedAt: now, linkMbps: report.LinkMbps}
 	for vm, m := range s.members {
 		if now.Sub(m.reportedAt) > memberTTL {
 			delete(s.members, vm)
 		}
 	}
-	return positionOf(report.VM, s.members)
+	position := positionOf(report.VM, s.members)
+	position.Settled = now.Sub(s.servingSince) >= settleTime && isConfirmed
+	return position
 }
 
 // Broadcast sends a batch to all VMs. The link of a VM that reads too slowly is closed; that VM then reads the store
--- a/internal/hub/position_test.go
+++ b/internal/hub/position_test.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
 )
 
 // Guards against electing a leader with a link of 10 Mbit/s, which relaying saturates, while VMs with 200 Mbit/s exist.
@@ -49,3 +52,22 @@
 		require.Positive(t, count, "%d VMs", size)
 	}
 }
+
+// A position is settled once VMs have had the time to connect to a new leader, while the store confirms its leadership.
+func TestPositionIsSettledLate(t *testing.T) {
+	now, confirmed := model.Instant(time.Hour), true
+	always := func() bool { return true }
+	server := NewServer(func() model.Instant { return now }, always, func() bool { return confirmed }, func(Report) {})
+	report := func(after time.Duration) bool {
+		now = now.Add(after)
+		return server.HandleReport(Report{VM: "vm-1"}).Settled
+	}
+	require.False(t, report(0))
+	require.False(t, report(settleTime-time.Millisecond))
+	require.True(t, report(time.Millisecond))
+	confirmed = false
+	require.False(t, report(ReportInterval))
+	confirmed = true
+	require.True(t, report(ReportInterval))
+	require.False(t, report(time.Minute), "another VM was the leader in the meantime")
+}
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -52,6 +52,9 @@
 	// regionPreference is the expected gain above which a target in another region is preferred. It is large because the
 	// link between the regions has little bandwidth and is billed by volume.
 	regionPreference = 250 * time.Millisecond
+	// connectCost is the expected gain above which a target is preferred to which a connection has to be opened. Opening one
+	// takes a round trip and occupies a slot of the target.
+	connectCost = 100 * time.Millisecond
 	// overdueRatio is the multiple of its expected time that a request may be in flight before its target counts as
 	// slower.
 	overdueRatio = 2.5
@@ -63,6 +66,8 @@
 	// Zone and Region are those of this VM.
 	Zone   model.Zone
 	Region model.Region
+	// IsConnected reports whether there is an idle connection to an address; nil if that is not known.
+	IsConnected func(address string) bool
 }
 
 // Report is a load report of a target. Slowness is the current work time on its machine relative to normal.
@@ -157,6 +162,9 @@
 	OverdueFactor float64
 }
 
+// HasFreeSlot reports whether a target with a number of slots is expected to start a request at once.
+func (e *Estimate) HasFreeSlot(slots int) bool { return float64(e.Own)+e.Others+1 <= float64(slots) }
+
 // Choice is a chosen target, as the index in the list of targets, with its estimate.
 type Choice struct {
 	Index    int
@@ -165,17 +173,20 @@
 
 // Choose returns the target with the lowest expected response time, after jitter and the preference for the local
 // region. It returns false if targets is empty.
-func (p *Picker) Choose(now model.Instant, request Request, targets []fleet.Target) (Choice, bool) {
+func (p *Picker) Choose(now model.Instant, request Request, targets []*fleet.Target) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	best := Choice{Index: -1}
 	bestCost := math.Inf(1)
 	for i := range targets {
-		estimate := p.estimate(now, request, &targets[i])
+		estimate := p.estimate(now, request, targets[i])
 		cost := float64(estimate.Total) * (1 + jitter*p.random())
 		if targets[i].Region != request.Region {
 			cost += float64(regionPreference)
 		}
+		if request.IsConnected != nil && !request.IsConnected(targets[i].Address) {
+			cost += float64(connectCost)
+		}
 		if cost < bestCost {
 			bestCost = cost
 			best = Choice{Index: i, Estimate: estimate}
--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -28,7 +28,11 @@
 func newPicker() *Picker { return New(func() float64 { return 0 }) }
 
 func choose(t *testing.T, p *Picker, now model.Instant, list []fleet.Target) fleet.Target {
-	choice, found := p.Choose(now, localRequest, list)
+	pointers := make([]*fleet.Target, len(list))
+	for i := range list {
+		pointers[i] = &list[i]
+	}
+	choice, found := p.Choose(now, localRequest, pointers)
 	require.True(t, found)
 	return list[choice.Index]
 }
@@ -173,3 +177,25 @@
 	full := p.Estimate(at(0), localRequest, &list[1]).Total
 	assert.Less(t, p.Estimate(at(20*time.Second), localRequest, &list[1]).Total, full/3)
 }
+
+// Guards against a VM that opens a connection for nearly every request, because it sends to many targets in turn: each
+// target closes the connection before its next request, and opening one occupies a slot.
+func TestConnectedTargetsArePreferred(t *testing.T) {
+	p := newPicker()
+	list := targets("a", "a", "a")
+	request := localRequest
+	request.IsConnected = func(address string) bool { return address == "open" }
+	list[2].Address = "open"
+	pointers := []*fleet.Target{&list[0], &list[1], &list[2]}
+	for i := range 20 {
+		choice, found := p.Choose(at(time.Duration(i)*time.Second), request, pointers)
+		require.True(t, found)
+		assert.Equal(t, 2, choice.Index)
+	}
+	for range 3 {
+		p.Begin(at(time.Minute), request, &list[2])
+	}
+	choice, found := p.Choose(at(time.Minute), request, pointers)
+	require.True(t, found)
+	assert.NotEqual(t, 2, choice.Index, "waiting behind other requests takes longer than opening a connection")
+}
