Let requests wait for an owner that does not hold its keys yet

Change: after one such response, requests for that range and fence wait for 250 ms or for the next assignment instead of being sent. A response about a former owner counts for nothing.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -290,6 +290,9 @@
 	err error, took time.Duration,
 ) {
 	if key >= 0 && g.state.config.Load().Services[service].Keyed {
+		if response != nil && response.KeyNotHeld {
+			g.recordUnheld(now, service, key, chosen.target.Incarnation())
+		}
 		if response != nil && response.NotRun && !response.KeyNotHeld {
 			g.countRejectedWork(route, service, key)
 		} else {
@@ -312,6 +315,14 @@
 	}
 }
 
+// recordUnheld records that the owner of a key does not hold it. A response about a former owner says nothing of the
+// current one.
+func (g *gateway) recordUnheld(now model.Instant, service model.Service, key int, owner fleet.Incarnation) {
+	if r := g.state.table.Load().Find(service, key); r != nil && r.Owner.Incarnation == owner {
+		g.unheld.add(now, r)
+	}
+}
+
 // recordTargetState records what a response says about the availability of its target.
 func (g *gateway) recordTargetState(now model.Instant, incarnation fleet.Incarnation, response *platform.Response) {
 	if response.Leaving {
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -84,3 +84,25 @@
 	assert.Equal(t, 41, g.currentRank(now).Rank)
 	assert.Nil(t, g.currentRank(now.Add(2*hub.PositionTTL)))
 }
+
+// Guards against requests that each use up the retry budget at an owner that does not hold its keys yet, as after a restart
+// of all VMs: one of them shows it, and the others wait until the keys are granted.
+func TestRequestsWaitForAnOwnerWithoutItsKeys(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t)
+	g := f.gateway
+	require.Eventually(t, func() bool {
+		r := g.state.table.Load().Find("review", 7)
+		return r != nil && r.Ready
+	}, settleTime, 10*time.Millisecond)
+	now := g.clock.Now()
+	r := g.state.table.Load().Find("review", 7)
+	g.recordUnheld(now, "review", 7, fleet.Incarnation{ID: "other"})
+	assert.False(t, g.unheld.waits(now, r), "the response is of a former owner")
+	g.recordUnheld(now, "review", 7, r.Owner.Incarnation)
+	assert.True(t, g.unheld.waits(now, r))
+	granted := *r
+	granted.Fence++
+	assert.False(t, g.unheld.waits(now, &granted))
+	assert.False(t, g.unheld.waits(now.Add(unheldRetryDelay), r))
+}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -220,6 +220,9 @@
 	if r == nil || !r.Ready {
 		return g.waitForOwner(now, j, "keys are being moved")
 	}
+	if g.unheld.waits(now, r) {
+		return g.waitForOwner(now, j, "owner does not hold its keys yet")
+	}
 	entry, found := g.state.lookup(now, r.Owner.Incarnation.ID)
 	if !found || entry.Leaving || entry.Target.Incarnation() != r.Owner.Incarnation {
 		return g.waitForOwner(now, j, "owner is leaving or was removed")
--- a/internal/gateway/role.go
+++ b/internal/gateway/role.go
@@ -69,6 +69,7 @@
 	state      *state
 	picker     *picker.Picker
 	throttle   *throttle.Throttle
+	unheld     *unheldRanges
 	controller *controller
 	// leaderChanged wakes the goroutine that sends reports when the leader changes.
 	leaderChanged chan struct{}
@@ -134,7 +135,7 @@
 		state: newState(regions), picker: picker.New(rand.Float64), work: newKeyWork(),
 		leaderChanged: make(chan struct{}, 1), outage: newStoreOutage(),
 		watched: newWatchList(), split: newSplitter(), cold: newColdLimiter(), deadlines: newDeadlineTracker(),
-		budgets: map[model.Service]budget{}, throttle: throttle.New(),
+		budgets: map[model.Service]budget{}, throttle: throttle.New(), unheld: newUnheldRanges(),
 	}
 	g.load = newKeyLoad(g.clock.Now)
 	g.hub = hub.NewServer(g.clock.Now, func() bool { return g.controller.isLeader.Load() }, g.leadershipConfirmed, g.handleReport)
