Keep a pause that a rejection without an attempt ID asks for

Its rejections had no attempt ID, so on a kept connection they were not taken for the response to any request (a copy of an earlier one looks the same), and the Retry-After in them was lost too. The soak's servers now repeat rejections and responses to releases, leave out IDs, ask for pauses and announce their stop only in responses; it checks DRAIN and BUDGET from what servers and callers see.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -170,6 +170,7 @@
 			}
 			return watch.beforeSend()
 		}
+		call.OnPause = func(pause time.Duration) { g.recordPause(chosen.target.Incarnation(), pause) }
 		response, err := g.targets.Do(ctx, chosen.target.Address, call)
 		end := g.clock.Now()
 		outcome := classify(response, err)
@@ -290,22 +291,14 @@
 	err error, took time.Duration,
 ) {
 	if key >= 0 && g.state.config.Load().Services[service].Keyed {
-		if response != nil && response.KeyNotHeld {
-			g.recordUnheld(now, service, key, chosen.target.Incarnation())
-		}
-		if response != nil && response.NotRun && !response.KeyNotHeld {
-			g.countRejectedWork(route, service, key)
-		} else {
-			g.work.add(service, key, min(took, maxKeyWork))
-			g.throttle.Accepted(now, chosen.target.Incarnation())
-		}
+		g.recordKeyLoad(now, route, service, key, chosen.target.Incarnation(), response, took)
 	}
 	if err != nil && errorx.IsOfType(err, upstream.ErrTimeout) && took > connectionSuspectAfter {
 		// The connections to the target may be broken without an error, which only a timeout reveals.
 		g.targets.Pool().CloseIdle(chosen.target.Address)
 	}
 	if response != nil {
-		g.recordTargetState(now, chosen.target.Incarnation(), response)
+		g.recordTargetState(chosen.target.Incarnation(), response)
 	}
 	unreachable := err != nil && errorx.IsOfType(err, upstream.ErrNotSent) && !errorx.IsOfType(err, upstream.ErrAbandoned)
 	replaced := response != nil && response.ActualTarget != ""
@@ -315,6 +308,22 @@
 	}
 }
 
+// recordKeyLoad updates the load of a key after an attempt at its owner.
+func (g *gateway) recordKeyLoad(
+	now model.Instant, route string, service model.Service, key int, owner fleet.Incarnation, response *platform.Response,
+	took time.Duration,
+) {
+	if response != nil && response.NotRun && !response.KeyNotHeld {
+		g.countRejectedWork(route, service, key)
+		return
+	}
+	g.work.add(service, key, min(took, maxKeyWork))
+	g.throttle.Accepted(now, owner)
+	if response != nil && response.KeyNotHeld {
+		g.recordUnheld(now, service, key, owner)
+	}
+}
+
 // recordUnheld records that the owner of a key does not hold it. A response about a former owner says nothing of the
 // current one.
 func (g *gateway) recordUnheld(now model.Instant, service model.Service, key int, owner fleet.Incarnation) {
@@ -324,16 +333,22 @@
 }
 
 // recordTargetState records what a response says about the availability of its target.
-func (g *gateway) recordTargetState(now model.Instant, incarnation fleet.Incarnation, response *platform.Response) {
+func (g *gateway) recordTargetState(incarnation fleet.Incarnation, response *platform.Response) {
 	if response.Leaving {
 		g.markLeaving(incarnation, "response to a request")
 	}
 	if response.Pause > 0 {
-		g.metrics.pause()
-		g.state.withRegistry(func(r *registry.Registry) { r.Pause(now, incarnation, now.Add(response.Pause)) })
+		g.recordPause(incarnation, response.Pause)
 	}
 }
 
+// recordPause records that a target wants no requests for some time from now.
+func (g *gateway) recordPause(incarnation fleet.Incarnation, pause time.Duration) {
+	now := g.clock.Now()
+	g.metrics.pause()
+	g.state.withRegistry(func(r *registry.Registry) { r.Pause(now, incarnation, now.Add(pause)) })
+}
+
 // connectionSuspectAfter is how long a request that timed out must have waited before the connections to its target are
 // assumed to be broken.
 const connectionSuspectAfter = time.Second
--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -62,7 +62,7 @@
 	id := fmt.Sprintf("%s-%d", c.name, c.sent.Add(1))
 	body := strings.Repeat("x", c.random.IntN(2000))
 	path := "/" + kind + "/" + id
-	recorded := c.deployment.oracle.recordRequest(id, kind)
+	recorded := c.deployment.oracle.recordRequest(id, kind, v.name)
 	request, err := http.NewRequest(http.MethodPost, "http://"+v.callerAddress+path, strings.NewReader(body))
 	if err != nil {
 		return 0
@@ -90,6 +90,9 @@
 	}
 	c.checkResponse(id, path, body, response, string(raw))
 	c.deployment.oracle.recordResponse(recorded, response.StatusCode)
+	if response.Header.Get("Server-Leaving") != "" {
+		c.deployment.oracle.recordAnnouncement(recorded, id)
+	}
 	return response.StatusCode
 }
 
--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -124,6 +124,7 @@
 }
 
 func (d *deployment) startVM(v *vm) {
+	d.oracle.recordVMFault(v.name)
 	process, err := testbed.StartProgram(d.dir, v.name, d.program, v.args...)
 	if err != nil {
 		d.t.Errorf("%s does not start: %v", v.name, err)
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -42,6 +42,7 @@
 	{"server crashes", func(i *injector, r *rand.Rand) { i.onRandomServer(r, crashServer) }},
 	{"server drains", func(i *injector, r *rand.Rand) { i.onRandomServer(r, drainServer) }},
 	{"server fails requests", func(i *injector, r *rand.Rand) { i.onRandomServer(r, failServerRequests) }},
+	{"server misbehaves", func(i *injector, r *rand.Rand) { i.onRandomServer(r, misbehave) }},
 	{"store", func(i *injector, r *rand.Rand) { i.runExclusively("store", func() { disturbStore(i, r) }) }},
 	{"configuration", func(i *injector, _ *rand.Rand) { i.runExclusively("configuration", i.deployment.publishConfig) }},
 	{"evacuation", func(i *injector, r *rand.Rand) { i.runExclusively("evacuation", func() { evacuateZone(i, r) }) }},
@@ -154,6 +155,7 @@
 	i.deployment.oracle.resumedAt = time.Now()
 	i.deployment.oracle.mu.Unlock()
 	p.Resume()
+	i.deployment.oracle.recordVMFault(v.name)
 }
 
 // disturb delays, closes or blocks connections of a relay. It blocks either all of them for a time, in one or both
@@ -205,6 +207,10 @@
 
 func drainServer(i *injector, s *server, r *rand.Rand) {
 	i.logf("%s drains", s.id)
+	if r.IntN(2) == 0 {
+		s.announceStop()
+		time.Sleep(drainBound + time.Second)
+	}
 	s.setDraining()
 	time.Sleep(3 * time.Second)
 	s.stopAndUnregister()
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -31,20 +31,29 @@
 	resumedAt time.Time
 	// lateRuns lists the requests that reached a server later than departureGrace after the departure of their callers.
 	lateRuns []string
+	// announced holds when a VM first passed on that a server announces its stop, and pauses what servers asked VMs for.
+	announced map[pair]time.Time
+	pauses    map[pair]*pause
+	// vmFaultAt is when a VM was last restarted or paused.
+	vmFaultAt map[string]time.Time
 	// served counts the responses with status 200 for each kind of request.
 	served map[string]int
 }
 
 // requestRecord is a request of a caller and its result.
 type requestRecord struct {
-	kind   string
+	kind string
+	// vm is the VM to which the caller sent the request, at sentAt.
+	vm     string
+	sentAt time.Time
 	status int
 	// leftAt is when the connection of the caller was known to be closed; zero while it may be open.
 	leftAt time.Time
 }
 
 func newOracle() *oracle {
-	return &oracle{runs: map[string][]string{}, requests: map[string]*requestRecord{}, served: map[string]int{}}
+	return &oracle{runs: map[string][]string{}, requests: map[string]*requestRecord{}, served: map[string]int{}, announced: map[pair]time.Time{},
+		pauses: map[pair]*pause{}, vmFaultAt: map[string]time.Time{}}
 }
 
 // addViolation records a violated guarantee. The format begins with the label of the guarantee, such as OWNER. The
@@ -84,11 +93,11 @@
 	}
 }
 
-// recordRequest records that a caller sends a request.
-func (o *oracle) recordRequest(id, kind string) *requestRecord {
+// recordRequest records that a caller sends a request to a VM.
+func (o *oracle) recordRequest(id, kind, vm string) *requestRecord {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	request := &requestRecord{kind: kind}
+	request := &requestRecord{kind: kind, vm: vm, sentAt: time.Now()}
 	o.requests[id] = request
 	return request
 }
--- a/internal/soak/server_test.go
+++ b/internal/soak/server_test.go
@@ -46,6 +46,11 @@
 	// failEvery and dropResponseEvery make every n-th request fail, or run without a response. 0 means none.
 	failEvery, dropResponseEvery int
 	count                        int
+	// leaving is true once the server announces its stop in its responses.
+	leaving bool
+	// repeats makes rejections and responses to releases arrive twice, pauses makes rejections ask for a pause, and omitsIDs
+	// leaves the attempt ID out of them.
+	repeats, pauses, omitsIDs bool
 	// disturbedUntil is the time until which grants and requests may be delayed by a disturbance of the connections to this server.
 	disturbedUntil time.Time
 }
@@ -87,12 +92,12 @@
 		return err
 	}
 	s.oracle.mu.Lock()
-	s.up, s.draining, s.holds, s.running, s.keys, s.seq = true, false, nil, 0, map[int]int{}, 0
+	s.up, s.draining, s.leaving, s.holds, s.running, s.keys, s.seq = true, false, false, nil, 0, map[int]int{}, 0
 	s.incarnation = max(time.Now().UnixMilli(), s.incarnation+1)
 	s.http = &http.Server{Handler: s.handler(s.incarnation)}
 	serving := s.http
 	s.oracle.mu.Unlock()
-	go func() { _ = serving.Serve(listener) }()
+	go func() { _ = serving.Serve(repeatingListener{Listener: listener, server: s}) }()
 	s.report()
 	return nil
 }
@@ -337,15 +342,24 @@
 	if !s.isCurrent(incarnation) {
 		panic(http.ErrAbortHandler)
 	}
+	if s.leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	o.checkArrival(s, id)
 	rejectStatus := 0
 	switch {
 	case key >= 0 && s.holdOf(key) == nil:
 		rejectStatus = http.StatusMisdirectedRequest
-	case s.running >= slots+queue:
+	case s.running >= slots+queue || s.pauses && s.running >= slots/2:
 		rejectStatus = http.StatusServiceUnavailable
 	}
+	if rejectStatus == http.StatusServiceUnavailable && s.pauses {
+		s.askForPause(w, id)
+	}
 	if rejectStatus != 0 {
-		w.Header().Set("X-Tarragonpoint-Attempt-Id", id)
+		if !s.omitsIDs {
+			w.Header().Set("X-Tarragonpoint-Attempt-Id", id)
+		}
 		w.Header().Set("X-Tarragonpoint-Not-Executed", "1")
 		w.WriteHeader(rejectStatus)
 		return false, false, false
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -28,8 +28,8 @@
 
 // ciSeeds are the seeds that CI runs. A seed that has failed once stays in the list, with its cause. Seed 1: a reload
 // signal ended a process that had just been started. Seeds 9003 to 9015: a VM that was paused sent requests of callers
-// that had left.
-var ciSeeds = []uint64{1, 2, 9003, 9007, 9012, 9015}
+// that had left. Seed 50000: a VM did not keep a pause that a rejection without an attempt ID had asked for.
+var ciSeeds = []uint64{1, 2, 9003, 9007, 9012, 9015, 50000}
 
 var (
 	program   string
