Remove a data race from the test of slow callers

Its own assertion failed too, because the caller began to read before the 64 MB had arrived at the VM. Change: the test starts a VM with the setting and the client, and the caller begins to read once the VM has counted the cut delivery. The body has 16 MB, still more than sockets buffer. The bound and the assertions are unchanged. The program is unchanged.

--- a/internal/gateway/availability_test.go
+++ b/internal/gateway/availability_test.go
@@ -157,18 +157,25 @@
 // A caller that does not read its response is disconnected, and what it got does not look complete.
 func TestSlowCallerIsDisconnected(t *testing.T) {
 	t.Parallel()
+	const length = 16 << 20
 	f := startFixture(t)
-	f.gateway.settings.DeliveryTimeout = 200 * time.Millisecond
-	const length = 64 << 20
+	g := f.newVM("vm-2")
+	g.settings.DeliveryTimeout = 200 * time.Millisecond
+	g.targets = newTargetClient(2 * length)
+	f.runVM(g)
+	f.gateway = g
 	body := strings.Repeat("x", length)
 	f.cutTarget(t, func(id string) string {
 		return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Tarragonpoint-Attempt-Id: %s\r\nX-Tarragonpoint-Server-Seal: seal\r\n"+
 			"Content-Length: %d\r\n\r\n%s", id, length, body)
 	})
-	f.gateway.targets = newTargetClient(2 * length)
-	caller := sendRaw(t, f.gateway.settings.ListenCallers, http.MethodGet, "/reads/1", "slow")
+	caller := sendRaw(t, g.settings.ListenCallers, http.MethodGet, "/reads/1", "slow")
 	defer func() { _ = caller.Close() }()
-	time.Sleep(2 * time.Second)
+	require.Eventually(t, func() bool {
+		g.metrics.mu.Lock()
+		defer g.metrics.mu.Unlock()
+		return g.metrics.counters[counterKey{name: "deliveries_cut", label: "reason", value: "timeout"}] != nil
+	}, settleTime, 10*time.Millisecond)
 	require.NoError(t, caller.SetReadDeadline(time.Now().Add(settleTime)))
 	response, err := http.ReadResponse(bufio.NewReader(caller), nil)
 	require.NoError(t, err)
