Tell the end of a target from a closed connection, and identify requests in the log

Change: after a connection that a target closed without a response the VM opens another one. If the host refuses it, the process has ended. The line 'connection closed during a request' and the metric broken_attempts say which; the lines of such requests carry hashes of their content and of their caller's address. The connection is kept for the next request, so a target that lives on gets no connection more than before. FingerprintOf moves from the entry role to the quarantine package, so that both roles compute it in the same way.

No request is treated differently.

--- a/internal/entry/adapters.go
+++ b/internal/entry/adapters.go
@@ -1,11 +1,8 @@
 package entry
 
 import (
-	"encoding/binary"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/tarragonpoint/tarragonpoint/internal/admission"
 	"github.com/tarragonpoint/tarragonpoint/internal/balance"
 	"github.com/tarragonpoint/tarragonpoint/internal/dispatch"
@@ -145,19 +142,10 @@
 	seed uint64
 }
 
-// Fingerprint returns the keyed hash of a request. Each part except the body is preceded by its length, so that the
-// hash depends on where the parts end.
+// Fingerprint returns the keyed hash of a request.
 func (q quarantineFilter) Fingerprint(tenant model.Tenant, service model.Service, method, path string,
 	body []byte) uint64 {
-	digest := xxhash.NewWithSeed(q.seed)
-	for _, part := range []string{string(tenant), string(service), method, path} {
-		var length [8]byte
-		binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
-		_, _ = digest.Write(length[:])
-		_, _ = digest.WriteString(part)
-	}
-	_, _ = digest.Write(body)
-	return digest.Sum64()
+	return uint64(quarantine.FingerprintOf(q.seed, body, string(tenant), string(service), method, path))
 }
 
 // Enter reports whether a request may run. If it may, the returned function must be called at its end.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -27,6 +27,8 @@
 	outcome   attemptOutcome
 	// targetUnavailable is true if the request was not sent because its target may not get requests any more.
 	targetUnavailable bool
+	// liveness is what is known of the target's process after it closed the connection without a response.
+	liveness targetLiveness
 }
 
 // attempt sends a request to a target. It returns false if a target has to be chosen again. When the response to an
@@ -52,6 +54,7 @@
 		case finished := <-results:
 			inFlight--
 			j.finished(&finished)
+			g.recordBroken(j, &finished)
 			if finished.outcome != attemptResponded && inFlight > 0 {
 				finished.response.Release()
 				continue
@@ -179,6 +182,7 @@
 		g.recordAttempt(end, route.Name, service, key, chosen, response, err, end.Sub(now))
 		results <- attemptResult{
 			placement: chosen, response: response, err: err, outcome: outcome, targetUnavailable: unavailable,
+			liveness: g.checkLiveness(chosen.target.Address, err),
 		}
 	}()
 }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -34,6 +34,8 @@
 	connections []uint64
 	// mayHaveRun is true once an attempt has failed or ended with an unknown outcome.
 	mayHaveRun bool
+	// identity is set once an attempt has broken off; see job.identify.
+	identity *requestIdentity
 }
 
 func (j *job) timeLeft(now model.Instant) time.Duration { return j.deadline.Sub(now) }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -135,6 +135,11 @@
 	m.count(counterKey{name: "hedges", label: "service", value: service})
 }
 
+// brokenAttempt counts an attempt whose connection the target closed before its response was complete.
+func (m *metrics) brokenAttempt(target string) {
+	m.count(counterKey{name: "broken_attempts", label: "target", value: target})
+}
+
 // bytes counts an attempt and the bytes of its request and response bodies by the distance of the target.
 func (m *metrics) bytes(route, distance string, size int) {
 	m.add(counterKey{name: "body_bytes", label: "route", value: route, label2: "distance", value2: distance}, int64(size))
--- a/internal/logging/fields.go
+++ b/internal/logging/fields.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strconv"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -72,6 +73,14 @@
 // RequestID is the ID that a caller gave to its request, cut to maxID bytes. It is the only data of callers in the log.
 func RequestID(id string) Field { return Field{"request", clip(id)} }
 
+// Fingerprint is the hash of a request's content, by which the lines of equal requests can be found.
+func Fingerprint(hash uint64) Field { return Field{"fingerprint", formatHash(hash)} }
+
+// Caller is the hash of a caller's address, by which the lines of one caller can be found.
+func Caller(hash uint64) Field { return Field{"caller", formatHash(hash)} }
+
+func formatHash(hash uint64) string { return strconv.FormatUint(hash, 16) }
+
 // maxID is the maximum length of a request ID in a line, in bytes.
 const maxID = 64
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -25,9 +25,6 @@
 	DefaultCapacity = 4096
 )
 
-// Fingerprint is the keyed hash of a request.
-type Fingerprint uint64
-
 // Verdict states whether a request may run.
 type Verdict uint8
 
--- a/internal/standin/platformstub/target.go
+++ b/internal/standin/platformstub/target.go
@@ -48,6 +48,10 @@
 	mode   Mode
 	// leaving is true if all responses state that the target is about to stop.
 	leaving bool
+	// crashOn reports whether a request ends the target's process when the target begins to run it; nil for none.
+	crashOn func(*http.Request) bool
+	// startedAtMillis is the start of the process that the target registers, in Unix milliseconds.
+	startedAtMillis int64
 	// arrivals counts the requests, including rejected ones.
 	arrivals int
 	work     time.Duration
@@ -65,7 +69,7 @@
 
 // NewTarget starts a target on the loopback interface. The caller must close it.
 func NewTarget(id string, work time.Duration) *Target {
-	t := &Target{ID: id, work: work, runs: map[string]int{}}
+	t := &Target{ID: id, work: work, startedAtMillis: 1, runs: map[string]int{}}
 	t.server = httptest.NewServer(http.HandlerFunc(t.serve))
 	return t
 }
@@ -86,6 +90,21 @@
 	t.mode = mode
 }
 
+// SetStartedAtMillis sets the start of the process that the target registers, in Unix milliseconds.
+func (t *Target) SetStartedAtMillis(millis int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.startedAtMillis = millis
+}
+
+// CrashOn makes the target's process end when the target begins to run a request for which crashes returns true: it closes
+// all connections without a response and refuses new ones.
+func (t *Target) CrashOn(crashes func(*http.Request) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.crashOn = crashes
+}
+
 // AnnounceStop makes all responses from now on state that the target is about to stop.
 func (t *Target) AnnounceStop() {
 	t.mu.Lock()
@@ -111,7 +130,13 @@
 // at the same time.
 func (t *Target) Registration(service, zone string, slots int, state string, seq int) []byte {
 	return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":%q,"version":"v1","max-concurrency":%d,"state":%q,`+
-		`"warmup-left":"0ms","seq":%d,"born":1}`, service, t.Address(), zone, slots, state, seq)
+		`"warmup-left":"0ms","seq":%d,"born":%d}`, service, t.Address(), zone, slots, state, seq, t.startedAt())
+}
+
+func (t *Target) startedAt() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.startedAtMillis
 }
 
 func (t *Target) serve(w http.ResponseWriter, request *http.Request) {
@@ -202,10 +227,23 @@
 	if mode != Shed && mode != Pause && mode != Hang {
 		t.runs[id]++
 	}
+	crashes := t.crashOn != nil && t.crashOn(request)
 	t.mu.Unlock()
+	if crashes {
+		t.crash()
+	}
 	t.respond(w, request, mode, id, len(body))
 }
 
+// crash ends the target's process during a request.
+func (t *Target) crash() {
+	// The listener may be closed already by another request that crashes the target.
+	_ = t.server.Listener.Close()
+	// CloseClientConnections waits for this request too.
+	go t.server.CloseClientConnections()
+	panic(http.ErrAbortHandler)
+}
+
 func (t *Target) respond(w http.ResponseWriter, request *http.Request, mode Mode, id string, length int) {
 	header := w.Header()
 	header.Set("X-Tarragonpoint-Attempt-Id", id)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -133,6 +133,17 @@
 	return !slices.Contains(r.Avoid, id)
 }
 
+// Probe opens a connection to an address and keeps it for a later request. It returns ErrRefused if the host refuses the
+// connection, because no process listens at the address, and ErrNotSent if the connection cannot be opened otherwise.
+func (p *Pool) Probe(ctx context.Context, address string) error {
+	c, err := p.open(ctx, address)
+	if err != nil {
+		return err
+	}
+	p.returnUnused(address, c)
+	return nil
+}
+
 // returnUnused makes a connection available to other requests.
 func (p *Pool) returnUnused(address string, c *conn) {
 	if !p.putIdle(address, c) {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -441,3 +441,15 @@
 	require.NoError(t, err)
 	next.Release()
 }
+
+// Verifies that a probe tells a host without a listener from one that accepts connections, and keeps the connection.
+func TestProbeReportsWhetherAnyoneListens(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	pool := NewPool(Options{})
+	require.NoError(t, pool.Probe(context.Background(), listener.Addr().String()))
+	assert.True(t, pool.HasIdle(listener.Addr().String()))
+	require.NoError(t, listener.Close())
+	err = pool.Probe(context.Background(), listener.Addr().String())
+	assert.True(t, errorx.IsOfType(err, ErrRefused), "%v", err)
+}
