--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -115,7 +115,12 @@
 }
 
 func (f *fixture) send(method, path, id, body string, headers ...string) testResponse {
-	request, err := http.NewRequest(method, "http://"+f.gateway.settings.ListenCallers+path, strings.NewReader(body))
+	return f.sendTo(f.gateway, method, path, id, body, headers...)
+}
+
+// sendTo sends a request to one of several VMs.
+func (f *fixture) sendTo(vm *gateway, method, path, id, body string, headers ...string) testResponse {
+	request, err := http.NewRequest(method, "http://"+vm.settings.ListenCallers+path, strings.NewReader(body))
 	require.NoError(f.t, err)
 	request.Host = "a.example"
 	request.Header.Set("X-Tarragonpoint-Attempt-Id", id)
