Block requests that crash targets at all VMs of the gateway role

Everybody else's requests for those keys waited 3.4 s for each next owner, which the same request ended 50 ms after it had the keys.

Cause: the quarantine served only the entry role. A gateway VM sent such a request to up to max-attempts targets and forgot it; the next copy, at any VM, started anew. Copies that waited for the owner of the key arrived together.

Change: internal/quarantine is extended (number of strikes, crashes of known incarnations, withdrawal) and used by the gateway role. A crash is a connection closed without a response by a target whose port is closed then. Strikes reach all VMs by two ways: the leader pushes what VMs report, and a topic of the store holds them for VMs without a link and for those that start. Three strikes block the request for 10 min with 503 and Retry-After; with two it runs alone; a complete response withdraws them, so a request that only ran beside crashes is served.

Ruled out: that load ends the targets (copies crash idle ones), and that the platform does (the crashes follow the key). Hashing the caller's address too was not done: copies came from three zones within 11 ms.

Mutations found by tests: no record in the store, no write by unlinked VMs, no withdrawal; not found: ready before the strikes are read.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -108,7 +108,7 @@
 
 // hedgeDelay returns the delay after which a second attempt is made in parallel with the first.
 func (g *gateway) hedgeDelay(now model.Instant, j *job, chosen placement) time.Duration {
-	if j.route.Kind != fleet.Idempotent || j.sends >= max(maxParallelAttempts, j.route.MaxAttempts) {
+	if j.route.Kind != fleet.Idempotent || j.alone || j.sends >= max(maxParallelAttempts, j.route.MaxAttempts) {
 		return never
 	}
 	delay := time.Duration(hedgeFactor * float64(chosen.estimate.Total))
@@ -137,6 +137,9 @@
 	if _, ok := g.resolve(j); !ok {
 		return false
 	}
+	if _, ok := g.blocked(now, j); ok {
+		return false
+	}
 	chosen := g.chooseTarget(j)
 	// A second attempt that would wait behind other requests only adds to the load that delays the first one.
 	if chosen.action != actionSend || !chosen.estimate.HasFreeSlot(chosen.target.Slots) {
@@ -370,6 +373,7 @@
 		err: attempt.err,
 	}
 	if attempt.outcome == attemptResponded {
+		g.clearStrikes(j)
 		base.targetResponse = attempt.response
 		base.code = result.OK
 		return base, true
--- a/internal/gateway/broken.go
+++ b/internal/gateway/broken.go
@@ -73,6 +73,9 @@
 	return *j.identity
 }
 
+// fingerprint identifies requests of the same caller with the same content.
+func (i requestIdentity) fingerprint() quarantine.Fingerprint { return i.content }
+
 func (i requestIdentity) fields() []logging.Field {
 	return []logging.Field{logging.Fingerprint(uint64(i.content)), logging.Caller(uint64(i.caller))}
 }
@@ -88,4 +91,7 @@
 		logging.Service(j.service), logging.State(attempt.liveness.String()), logging.Attempt(j.sends),
 		logging.Elapsed(g.clock.Now().Sub(j.arrived)))
 	g.log.Part(logging.Registry).Event("connection closed during a request", fields...)
+	if attempt.liveness == livenessEnded {
+		g.recordStrike(j, attempt.placement.target.Incarnation())
+	}
 }
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
 	"github.com/tarragonpoint/tarragonpoint/internal/standin/platformstub"
 )
 
@@ -38,6 +39,22 @@
 	return runs
 }
 
+// expireEnded removes the registrations of targets that have ended, and waits until all VMs know.
+func (f *fixture) expireEnded(vms []*gateway) {
+	for id, target := range f.targets {
+		if !target.Ended() {
+			continue
+		}
+		f.store.Put("keyed.servers", id, nil)
+		for _, vm := range vms {
+			require.Eventually(f.t, func() bool {
+				_, found := vm.state.lookup(vm.clock.Now(), model.TargetID(id))
+				return !found
+			}, settleTime, 10*time.Millisecond)
+		}
+	}
+}
+
 // Guards against a request that ends one target after the other: it comes again under other attempt IDs, at other VMs and at
 // a VM that has just started. Requests like it are served.
 func TestRequestThatCrashesTargetsIsStoppedAtAllVMs(t *testing.T) {
@@ -68,6 +85,7 @@
 		}
 	}
 	assert.Equal(t, before, f.crashes(sent), "the request runs again")
+	f.expireEnded(vms)
 	for i, vm := range vms {
 		for uri, request := range map[string][2]string{
 			"/reads/crash?page=2": {http.MethodGet, ""}, "/reads/crash": {http.MethodGet, ""}, "/notices/crash?page=1": {http.MethodPost, "x"},
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -34,8 +34,10 @@
 	connections []uint64
 	// mayHaveRun is true once an attempt has failed or ended with an unknown outcome.
 	mayHaveRun bool
-	// identity is set once an attempt has broken off; see job.identify.
+	// identity is set once an attempt has broken off, or while requests have strikes; see job.identify.
 	identity *requestIdentity
+	// alone is true if the current attempt must not be hedged, because the request has crashed targets.
+	alone bool
 }
 
 func (j *job) timeLeft(now model.Instant) time.Duration { return j.deadline.Sub(now) }
@@ -85,6 +87,9 @@
 			counted = j.service
 			g.budget(j.service).Request(g.clock.Now())
 		}
+		if rejected, ok := g.blocked(g.clock.Now(), j); ok {
+			return rejected
+		}
 		change := g.state.change()
 		chosen := g.chooseTarget(j)
 		switch chosen.action {
@@ -96,7 +101,13 @@
 			}
 			continue
 		}
+		rejected, end, alone, ok := g.beginRun(g.clock.Now(), j)
+		if !ok {
+			return rejected
+		}
+		j.alone = alone
 		response, final := g.attempt(ctx, j, chosen)
+		end()
 		if final {
 			return response
 		}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -67,6 +67,11 @@
 	relistAge time.Duration
 	// leaderPollWait is how long a read by the leader waits for a record; 0 makes it read every leaderReadInterval.
 	leaderPollWait time.Duration
+	// freshness is how long the topic counts as up to date once the leader has relayed it. It exceeds the time between two
+	// reads by the leader.
+	freshness time.Duration
+	// ignoresOutages is true if the results of reads do not show whether the store responds to this VM.
+	ignoresOutages bool
 	// applyList applies the newest record of each key and returns the records to relay to other VMs. applyRecord does the
 	// same for one new record, and returns nil if there is nothing to relay.
 	applyList   func(now model.Instant, page platform.Page) []relayedRecord
@@ -91,8 +96,8 @@
 }
 
 const (
-	// relayFreshness is how long a relayed topic counts as up to date. The leader reads every topic at least twice in
-	// that time.
+	// relayFreshness is how long a relayed topic counts as up to date. The leader reads the topics that have it at least
+	// twice in that time.
 	relayFreshness = 1100 * time.Millisecond
 )
 
@@ -116,8 +121,9 @@
 		if err == nil {
 			failures = 0
 		}
-		now := f.gw.clock.Now()
-		f.gw.expireTargets(now, !f.gw.outage.endRead(started, now, err == nil))
+		if now := f.gw.clock.Now(); !f.ignoresOutages {
+			f.gw.expireTargets(now, !f.gw.outage.endRead(started, now, err == nil))
+		}
 		switch {
 		case err != nil:
 			failures++
@@ -309,8 +315,10 @@
 	}
 	f.nextOffset = batch.To
 	f.confirmedAt = now.Add(-time.Duration(batch.Age) * time.Millisecond)
-	f.freshUntil.Store(int64(now.Add(relayFreshness - time.Duration(batch.Age)*time.Millisecond)))
-	f.gw.expireTargets(now, true)
+	f.freshUntil.Store(int64(now.Add(f.freshness - time.Duration(batch.Age)*time.Millisecond)))
+	if !f.ignoresOutages {
+		f.gw.expireTargets(now, true)
+	}
 }
 
 // applyRelayed applies a record that the leader relayed. It returns false if this VM has to read it from the store.
@@ -346,6 +354,14 @@
 	}
 }
 
+// wake wakes the goroutine that waits for the channel.
+func wake(channel chan<- struct{}) {
+	select {
+	case channel <- struct{}{}:
+	default:
+	}
+}
+
 func sleep(ctx context.Context, wait time.Duration) {
 	if wait <= 0 {
 		return
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -167,10 +167,10 @@
 	return connection.SetWriteDeadline(time.Time{})
 }
 
-// statusOf returns the HTTP status of a result. A request whose deadline passed before it ran gets 503, which states
-// that it did not run, unlike the status of a request that may have run.
+// statusOf returns the HTTP status of a result. A request whose deadline passed before it ran, or that is blocked because it
+// crashed targets, gets 503, which on the platform is the status that states that a request did not run.
 func statusOf(info result.Info) int {
-	if info.Code == result.DeadlinePassed {
+	if info.Code == result.DeadlinePassed || info.Code == result.Quarantined {
 		return http.StatusServiceUnavailable
 	}
 	return info.HTTPStatus
@@ -249,7 +249,7 @@
 }
 
 // ready reports whether the load balancer should send new connections to this VM.
-func (g *gateway) ready() bool { return !g.draining.Load() && g.state.complete() }
+func (g *gateway) ready() bool { return !g.draining.Load() && g.state.complete() && g.knowsStrikes() }
 
 func listen(address string) (net.Listener, error) {
 	listener, err := net.Listen("tcp4", address)
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -25,7 +25,7 @@
 			sleep(ctx, hub.ReportInterval)
 			continue
 		}
-		client, err := hub.Dial(ctx, address)
+		client, err := g.dialLeader(ctx, address)
 		if err == nil {
 			if disconnected {
 				g.log.Part(logging.Peer).Event("reconnected to the leader", logging.Address(address))
@@ -100,7 +100,7 @@
 func (g *gateway) report() hub.Report {
 	return hub.Report{
 		VM: g.settings.VM, LinkMbps: g.settings.LinkMbps, Services: g.work.take(), Failed: g.state.failedTargets(),
-		Leaving: g.state.markedLeaving(),
+		Leaving: g.state.markedLeaving(), Strikes: g.strikes.unstored(g.clock.Now()),
 	}
 }
 
@@ -111,6 +111,7 @@
 	for _, incarnation := range report.Leaving {
 		g.markLeaving(incarnation, "report of a VM")
 	}
+	g.acceptStrikes(report.Strikes)
 }
 
 // markLeaving records that a target is about to stop, although the store may still have it as ready.
@@ -142,6 +143,9 @@
 		if push.Batch != nil {
 			g.applyBatch(push.Batch)
 		}
+		for _, strike := range push.Strikes {
+			g.applyStrike(decodeStrike(g.clock.Now(), strike), "push of the leader")
+		}
 	}
 }
 
@@ -155,7 +159,7 @@
 		}
 		select {
 		case <-ticker.C:
-		case <-g.leaderChanged:
+		case <-g.reportNow:
 		case <-ctx.Done():
 			return
 		}
@@ -176,7 +180,7 @@
 			Key: record.Key, Value: record.Value, Offset: record.Offset, Delta: record.delta,
 		})
 	}
-	if err := g.hub.Broadcast(batch); err != nil {
+	if err := g.hub.Broadcast(hub.Push{Batch: &batch}); err != nil {
 		g.log.Part(logging.Peer).Event("relaying a batch of records failed", logging.Name(topic), logging.SystemError(err))
 	}
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -140,6 +140,11 @@
 	m.count(counterKey{name: "broken_attempts", label: "target", value: target})
 }
 
+// strike counts a strike that this VM has learned, by what told it.
+func (m *metrics) strike(source string, withdrawn bool) {
+	m.count(counterKey{name: "strikes", label: "source", value: source, label2: "withdrawn", value2: strconv.FormatBool(withdrawn)})
+}
+
 // bytes counts an attempt and the bytes of its request and response bodies by the distance of the target.
 func (m *metrics) bytes(route, distance string, size int) {
 	m.add(counterKey{name: "body_bytes", label: "route", value: route, label2: "distance", value2: distance}, int64(size))
--- a/internal/gateway/role.go
+++ b/internal/gateway/role.go
@@ -26,6 +26,7 @@
 	"github.com/tarragonpoint/tarragonpoint/internal/logging"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
 	"github.com/tarragonpoint/tarragonpoint/internal/picker"
+	"github.com/tarragonpoint/tarragonpoint/internal/quarantine"
 	"github.com/tarragonpoint/tarragonpoint/internal/retry"
 	"github.com/tarragonpoint/tarragonpoint/internal/throttle"
 	"github.com/tarragonpoint/tarragonpoint/internal/upstream"
@@ -71,8 +72,13 @@
 	throttle   *throttle.Throttle
 	unheld     *unheldRanges
 	controller *controller
-	// leaderChanged wakes the goroutine that sends reports when the leader changes.
-	leaderChanged chan struct{}
+	// reportNow wakes the goroutine that sends reports when the leader changes or a strike is to be shared.
+	reportNow chan struct{}
+	// quarantine blocks requests that crash targets, strikes shares its strikes with the other VMs.
+	quarantine *quarantine.Table
+	strikes    *sharedStrikes
+	// completeSince is when this VM could first have served but for the strikes; 0 before.
+	completeSince atomic.Int64
 	// lastReadTable is the newest table that the follower of the assignment has read; only that follower uses it.
 	lastReadTable *keyspace.Table
 	// followers read the topics of the store.
@@ -81,11 +87,13 @@
 	work      *keyWork
 	watched   *watchList
 	hub       *hub.Server
-	outage    *storeOutage
-	split     *splitter
-	cold      *coldLimiter
-	deadlines *deadlineTracker
-	draining  atomic.Bool
+	// dialLeader opens the link to the leader at an address; tests slow or cut it.
+	dialLeader func(ctx context.Context, address string) (*hub.Client, error)
+	outage     *storeOutage
+	split      *splitter
+	cold       *coldLimiter
+	deadlines  *deadlineTracker
+	draining   atomic.Bool
 	// connections are the connections of callers.
 	connections callerconn.Tracker
 	// requestsContext ends when the last open requests must get their response.
@@ -133,16 +141,17 @@
 		settings: settings, clock: newClock(), log: log, metrics: newMetrics(),
 		store: platform.NewStore(settings.StoreAddress), targets: newTargetClient(settings.bodyMemory()),
 		state: newState(regions), picker: picker.New(rand.Float64), work: newKeyWork(),
-		leaderChanged: make(chan struct{}, 1), outage: newStoreOutage(),
+		dialLeader: hub.Dial, reportNow: make(chan struct{}, 1), outage: newStoreOutage(),
 		watched: newWatchList(), split: newSplitter(), cold: newColdLimiter(), deadlines: newDeadlineTracker(),
 		budgets: map[model.Service]budget{}, throttle: throttle.New(), unheld: newUnheldRanges(),
+		quarantine: quarantine.New(quarantine.Options{StrikesToBlock: strikesToBlock}), strikes: newSharedStrikes(),
 	}
 	g.load = newKeyLoad(g.clock.Now)
 	g.hub = hub.NewServer(g.clock.Now, func() bool { return g.controller.isLeader.Load() }, g.leadershipConfirmed, g.handleReport)
 	g.requestsContext, g.cancelRequests = context.WithCancel(context.Background())
 	incarnation := strconv.FormatUint(rand.Uint64(), 36)
 	g.controller = newController(g, settings.VM+"/"+incarnation)
-	g.followers = []*topicFollower{g.operatorFollower(), g.targetFollower(), g.tableFollower()}
+	g.followers = []*topicFollower{g.operatorFollower(), g.targetFollower(), g.tableFollower(), g.strikeFollower()}
 	return g, nil
 }
 
@@ -180,6 +189,7 @@
 	go g.controller.run(ctx)
 	go g.controller.maintainMembership(ctx)
 	go g.followLeader(ctx)
+	go g.storeStrikes(ctx)
 	go g.housekeeping(ctx)
 	go g.watchReload(ctx)
 }
--- /dev/null
+++ b/internal/gateway/strikes.go
@@ -0,0 +1,410 @@
+package gateway
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/hex"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/fleet"
+	"github.com/tarragonpoint/tarragonpoint/internal/hub"
+	"github.com/tarragonpoint/tarragonpoint/internal/logging"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/quarantine"
+	"github.com/tarragonpoint/tarragonpoint/internal/result"
+	"github.com/tarragonpoint/tarragonpoint/platform"
+)
+
+const (
+	// strikesToBlock is the number of targets that must have ended under a request before it is blocked. Other requests
+	// that a target runs when it ends get a strike too, so fewer would block requests that merely ran beside the cause.
+	strikesToBlock = 3
+	// busyRetryAfter is the retry delay sent to callers while another request with the same content runs alone.
+	busyRetryAfter = 500 * time.Millisecond
+	// maxReportedStrikes bounds the strikes in one report and in one write to the store.
+	maxReportedStrikes = 64
+	// strikeRetryDelay is the delay before a failed write of strikes is retried.
+	strikeRetryDelay = 500 * time.Millisecond
+	// strikePollWait is how long a read of the strikes waits for one. A lost response is detected after this time plus the
+	// call's timeout; the sum must stay below the platform's contact limit of 3 s.
+	strikePollWait = 1800 * time.Millisecond
+	// strikeLeaderPollWait is the same for the leader, and strikeFreshness how long its reads keep the strikes of the other
+	// VMs up to date.
+	strikeLeaderPollWait = time.Second
+	strikeFreshness      = 2400 * time.Millisecond
+	// strikesReadTimeout is how long a VM that has started is not ready because it has not read the strikes yet.
+	strikesReadTimeout = time.Second
+	// strikeCleanupInterval is the time between two removals of expired strikes from the store.
+	strikeCleanupInterval = time.Minute
+	// topicStrikes is the topic of the strikes. Each has a key of its own.
+	topicStrikes = "keyed.tarragonpoint-strikes"
+)
+
+// strikeKey identifies a strike.
+type strikeKey struct {
+	fingerprint quarantine.Fingerprint
+	crashed     fleet.Incarnation
+}
+
+// storeKey returns the key of the strike's record. It has the same length for all targets, whatever their IDs.
+func (k strikeKey) storeKey() string {
+	hash := quarantine.FingerprintOf(uint64(k.crashed.StartedAtMillis), nil, string(k.crashed.ID))
+	raw := binary.BigEndian.AppendUint64(nil, uint64(k.fingerprint))
+	return hex.EncodeToString(binary.BigEndian.AppendUint64(raw, uint64(hash)))
+}
+
+// strike is a crash of a target under a request.
+type strike struct {
+	strikeKey
+	at model.Instant
+	// withdrawn is true if the strike does not count any more.
+	withdrawn bool
+}
+
+// strikeRecord is the value of a strike's record in the store.
+type strikeRecord struct {
+	Fingerprint     uint64 `cbor:"1,keyasint"`
+	Target          string `cbor:"2,keyasint"`
+	StartedAtMillis int64  `cbor:"3,keyasint"`
+	// CrashedAtMillis is the time of the crash in Unix milliseconds of the VM that recorded it.
+	CrashedAtMillis int64 `cbor:"4,keyasint"`
+	Withdrawn       bool  `cbor:"5,keyasint,omitempty"`
+}
+
+// sharedStrikes tracks which strikes the store has. It is safe for concurrent use; its lock is held for no other call.
+type sharedStrikes struct {
+	mu sync.Mutex
+	// pending holds the strikes that this VM knows and has not seen in the store.
+	pending map[strikeKey]strike
+	// stored holds the strikes in the store by the keys of their records.
+	stored map[string]strike
+	// wake wakes the goroutine that writes to the store.
+	wake chan struct{}
+}
+
+func newSharedStrikes() *sharedStrikes {
+	return &sharedStrikes{pending: map[strikeKey]strike{}, stored: map[string]strike{}, wake: make(chan struct{}, 1)}
+}
+
+// add records a strike that the store should have. A strike for which there is no room is known to this VM only.
+func (s *sharedStrikes) add(added strike) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if stored, found := s.stored[added.storeKey()]; found && stored.withdrawn == added.withdrawn {
+		return
+	}
+	if len(s.pending) < quarantine.DefaultCapacity {
+		s.pending[added.strikeKey] = added
+	}
+}
+
+// seen records that the store has a strike.
+func (s *sharedStrikes) seen(key string, seen strike) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stored[key] = seen
+	if pending, found := s.pending[seen.strikeKey]; found && pending.withdrawn == seen.withdrawn {
+		delete(s.pending, seen.strikeKey)
+	}
+}
+
+// forget records that the store does not have a strike any more.
+func (s *sharedStrikes) forget(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.stored, key)
+}
+
+// unstored returns the strikes that the store should have, at most maxReportedStrikes.
+func (s *sharedStrikes) unstored(now model.Instant) []hub.Strike {
+	var list []hub.Strike
+	for _, pending := range s.takePending(now) {
+		list = append(list, encodeStrike(now, pending))
+	}
+	return list
+}
+
+// takePending returns up to maxReportedStrikes pending strikes and drops expired ones.
+func (s *sharedStrikes) takePending(now model.Instant) []strike {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []strike
+	for key, pending := range s.pending {
+		if now.Sub(pending.at) >= quarantine.BlockDuration {
+			delete(s.pending, key)
+			continue
+		}
+		if list = append(list, pending); len(list) == maxReportedStrikes {
+			break
+		}
+	}
+	return list
+}
+
+// expired returns the keys of records in the store whose strikes have expired, at most maxReportedStrikes.
+func (s *sharedStrikes) expired(now model.Instant) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var keys []string
+	for key, stored := range s.stored {
+		if now.Sub(stored.at) < quarantine.BlockDuration {
+			continue
+		}
+		if keys = append(keys, key); len(keys) == maxReportedStrikes {
+			break
+		}
+	}
+	return keys
+}
+
+func encodeStrike(now model.Instant, s strike) hub.Strike {
+	return hub.Strike{
+		Fingerprint: uint64(s.fingerprint), Crashed: s.crashed, Age: uint32(max(0, now.Sub(s.at)).Milliseconds()), Withdrawn: s.withdrawn,
+	}
+}
+
+func decodeStrike(now model.Instant, s hub.Strike) strike {
+	return strike{
+		strikeKey: strikeKey{fingerprint: quarantine.Fingerprint(s.Fingerprint), crashed: s.Crashed},
+		at:        now.Add(-time.Duration(s.Age) * time.Millisecond), withdrawn: s.Withdrawn,
+	}
+}
+
+// blocked returns the rejection of a request that is blocked because it has crashed targets, and false if it is not.
+func (g *gateway) blocked(now model.Instant, j *job) (callerResponse, bool) {
+	if g.quarantine.Len() == 0 {
+		return callerResponse{}, false
+	}
+	left := g.quarantine.BlockLeft(now, j.identify().fingerprint())
+	return reject(result.Quarantined, "request has crashed targets", left), left > 0
+}
+
+// beginRun reports whether a request may be sent. If it may not, rejected is the response; otherwise end must be called when
+// the attempt has ended, and alone is true if the attempt must not be hedged.
+func (g *gateway) beginRun(now model.Instant, j *job) (rejected callerResponse, end func(), alone, ok bool) {
+	end = func() {}
+	if g.quarantine.Len() == 0 {
+		return callerResponse{}, end, false, true
+	}
+	fingerprint := j.identify().fingerprint()
+	verdict, limited := g.quarantine.Begin(now, fingerprint)
+	switch verdict {
+	case quarantine.Blocked:
+		rejected, _ = g.blocked(now, j)
+		return rejected, end, false, false
+	case quarantine.Busy:
+		return reject(result.Quarantined, "request has crashed targets and is running already", busyRetryAfter), end, false, false
+	}
+	if limited {
+		end = func() { g.quarantine.End(fingerprint) }
+	}
+	return callerResponse{}, end, limited, true
+}
+
+// recordStrike counts the crash of a target under a request, and shares it with the other VMs.
+func (g *gateway) recordStrike(j *job, crashed fleet.Incarnation) {
+	g.shareStrike(strike{
+		strikeKey: strikeKey{fingerprint: j.identify().fingerprint(), crashed: crashed}, at: g.clock.Now(),
+	}, "observed")
+}
+
+// clearStrikes withdraws the strikes of a request that a target has run to its end.
+func (g *gateway) clearStrikes(j *job) {
+	if g.quarantine.Len() == 0 {
+		return
+	}
+	fingerprint := j.identify().fingerprint()
+	for _, crashed := range g.quarantine.Crashes(fingerprint) {
+		g.shareStrike(strike{
+			strikeKey: strikeKey{fingerprint: fingerprint, crashed: crashed}, at: g.clock.Now(), withdrawn: true,
+		}, "observed")
+	}
+}
+
+// shareStrike applies a strike and passes it on to the other VMs: through the leader, and through the store.
+func (g *gateway) shareStrike(s strike, source string) {
+	isNew := g.applyStrike(s, source)
+	g.strikes.add(s)
+	wake(g.strikes.wake)
+	if !g.controller.isLeader.Load() {
+		wake(g.reportNow)
+		return
+	}
+	if !isNew {
+		return
+	}
+	if err := g.hub.Broadcast(hub.Push{Strikes: []hub.Strike{encodeStrike(g.clock.Now(), s)}}); err != nil {
+		g.log.Part(logging.Peer).Event("pushing a strike failed", logging.SystemError(err))
+	}
+}
+
+// acceptStrikes applies the strikes in a report while this VM is the leader.
+func (g *gateway) acceptStrikes(reported []hub.Strike) {
+	for _, s := range reported {
+		g.shareStrike(decodeStrike(g.clock.Now(), s), "report of a VM")
+	}
+}
+
+// applyStrike updates the quarantine. It reports whether the strike was not known.
+func (g *gateway) applyStrike(s strike, source string) bool {
+	if g.clock.Now().Sub(s.at) >= quarantine.BlockDuration {
+		return false
+	}
+	var isNew bool
+	if s.withdrawn {
+		isNew = g.quarantine.Withdraw(s.fingerprint, s.crashed)
+	} else {
+		isNew = g.quarantine.StrikeCrash(s.at, s.fingerprint, s.crashed)
+	}
+	if isNew {
+		g.metrics.strike(source, s.withdrawn)
+		g.log.Part(logging.Registry).Event(strikeText(s.withdrawn), logging.Fingerprint(uint64(s.fingerprint)),
+			logging.TargetID(s.crashed.ID), logging.Reason(source), logging.DataAge(g.clock.Now().Sub(s.at)),
+			logging.Duration(g.quarantine.BlockLeft(g.clock.Now(), s.fingerprint)))
+	}
+	return isNew
+}
+
+func strikeText(withdrawn bool) string {
+	if withdrawn {
+		return "strike withdrawn"
+	}
+	return "strike recorded"
+}
+
+func (g *gateway) strikeFollower() *topicFollower {
+	return &topicFollower{
+		name: "strikes", topic: topicStrikes, gw: g, ignoresOutages: true,
+		pollWait: func() time.Duration { return strikePollWait }, leaderPollWait: strikeLeaderPollWait,
+		relistAge: topicRelistAge, freshness: strikeFreshness,
+		readInterval: func() time.Duration { return 0 },
+		applyList: func(now model.Instant, page platform.Page) []relayedRecord {
+			var relayed []relayedRecord
+			for _, record := range page.Records {
+				g.applyStrikeRecord(now, record)
+				relayed = append(relayed, *fullRecord(record))
+			}
+			return relayed
+		},
+		applyRecord: func(now model.Instant, record platform.Record) *relayedRecord {
+			g.applyStrikeRecord(now, record)
+			return fullRecord(record)
+		},
+	}
+}
+
+// applyStrikeRecord applies a record of the store. A record that cannot be decoded is left out.
+func (g *gateway) applyStrikeRecord(now model.Instant, record platform.Record) {
+	if len(record.Value) == 0 {
+		g.strikes.forget(record.Key)
+		return
+	}
+	var decoded strikeRecord
+	if err := cbor.Unmarshal(record.Value, &decoded); err != nil || decoded.Target == "" {
+		g.log.Part(logging.Registry).Event("record rejected", logging.Offset(model.Offset(record.Offset)),
+			logging.Reason("strike cannot be decoded"))
+		return
+	}
+	// The clocks of VMs differ by seconds, which is little beside the time for which strikes count.
+	age := max(0, time.Since(time.UnixMilli(decoded.CrashedAtMillis)))
+	read := strike{
+		strikeKey: strikeKey{
+			fingerprint: quarantine.Fingerprint(decoded.Fingerprint),
+			crashed:     fleet.Incarnation{ID: model.TargetID(decoded.Target), StartedAtMillis: decoded.StartedAtMillis},
+		},
+		at: now.Add(-age), withdrawn: decoded.Withdrawn,
+	}
+	g.strikes.seen(record.Key, read)
+	g.applyStrike(read, "record of the store")
+}
+
+// storeStrikes writes strikes to the store until ctx ends. While there is a leader it writes those of all VMs.
+func (g *gateway) storeStrikes(ctx context.Context) {
+	lastCleanup := g.clock.Now()
+	for ctx.Err() == nil {
+		now := g.clock.Now()
+		var err error
+		if g.controller.isLeader.Load() || !g.leaderIsRelaying() {
+			err = g.writeStrikes(ctx, now)
+		}
+		if g.controller.isLeader.Load() && now.Sub(lastCleanup) >= strikeCleanupInterval {
+			lastCleanup = now
+			err = g.removeExpiredStrikes(ctx, now)
+		}
+		if err != nil && ctx.Err() == nil {
+			g.log.Part(logging.Platform).Event("writing strikes failed", logging.SystemError(err))
+			sleep(ctx, strikeRetryDelay)
+			continue
+		}
+		timer := time.NewTimer(hub.ReportInterval)
+		select {
+		case <-g.strikes.wake:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
+// writeStrikes writes the pending strikes to the store.
+func (g *gateway) writeStrikes(ctx context.Context, now model.Instant) error {
+	var records []platform.Record
+	for _, pending := range g.strikes.takePending(now) {
+		value, err := cbor.Marshal(strikeRecord{
+			Fingerprint: uint64(pending.fingerprint), Target: string(pending.crashed.ID),
+			StartedAtMillis: pending.crashed.StartedAtMillis,
+			CrashedAtMillis: time.Now().Add(-now.Sub(pending.at)).UnixMilli(), Withdrawn: pending.withdrawn,
+		})
+		if err != nil {
+			return err
+		}
+		records = append(records, platform.Record{Key: pending.storeKey(), Value: value})
+	}
+	return g.appendStrikes(ctx, records)
+}
+
+// removeExpiredStrikes removes expired strikes from the store.
+func (g *gateway) removeExpiredStrikes(ctx context.Context, now model.Instant) error {
+	var records []platform.Record
+	for _, key := range g.strikes.expired(now) {
+		records = append(records, platform.Record{Key: key})
+	}
+	return g.appendStrikes(ctx, records)
+}
+
+// appendStrikes appends records to the store and applies them at once.
+func (g *gateway) appendStrikes(ctx context.Context, records []platform.Record) error {
+	if len(records) == 0 {
+		return nil
+	}
+	offset, err := g.store.AppendKeyed(ctx, topicStrikes, records)
+	g.metrics.storeCall("append-strikes", err)
+	if err != nil {
+		return err
+	}
+	now := g.clock.Now()
+	for i, record := range records {
+		record.Offset = offset + uint64(i)
+		g.applyStrikeRecord(now, record)
+		g.follower(topicStrikes).appended(now, record)
+	}
+	return nil
+}
+
+// knowsStrikes reports whether this VM has read the strikes, or has tried for long enough since the instant from which it
+// could serve otherwise.
+func (g *gateway) knowsStrikes() bool {
+	f := g.follower(topicStrikes)
+	f.mu.Lock()
+	listed := f.listed
+	f.mu.Unlock()
+	if listed {
+		return true
+	}
+	now := g.clock.Now()
+	g.completeSince.CompareAndSwap(0, int64(now))
+	return now.Sub(model.Instant(g.completeSince.Load())) >= strikesReadTimeout
+}
--- a/internal/gateway/topics.go
+++ b/internal/gateway/topics.go
@@ -13,7 +13,7 @@
 func (g *gateway) operatorFollower() *topicFollower {
 	return &topicFollower{
 		name: "operator", topic: platform.TopicOperator, gw: g,
-		pollWait: func() time.Duration { return operatorPollWait }, leaderPollWait: leaderPollWait, relistAge: topicRelistAge,
+		pollWait: func() time.Duration { return operatorPollWait }, leaderPollWait: leaderPollWait, relistAge: topicRelistAge, freshness: relayFreshness,
 		readInterval: func() time.Duration { return 0 },
 		applyList:    g.listOperator,
 		applyRecord: func(now model.Instant, record platform.Record) *relayedRecord {
@@ -79,7 +79,7 @@
 
 func (g *gateway) targetFollower() *topicFollower {
 	f := &topicFollower{
-		name: "targets", topic: platform.TopicTargets, gw: g, relistAge: topicRelistAge,
+		name: "targets", topic: platform.TopicTargets, gw: g, relistAge: topicRelistAge, freshness: relayFreshness,
 		readInterval: func() time.Duration { return targetsReadInterval },
 		pollWait:     func() time.Duration { return 0 },
 		applyList:    g.listTargets,
@@ -213,7 +213,7 @@
 func (g *gateway) tableFollower() *topicFollower {
 	return &topicFollower{
 		name: "assignment", topic: topicAssignment, gw: g,
-		readInterval: g.assignmentReadInterval, relistAge: assignmentRelistAge,
+		readInterval: g.assignmentReadInterval, relistAge: assignmentRelistAge, freshness: relayFreshness,
 		pollWait:    func() time.Duration { return assignmentPollWait },
 		applyList:   g.listTables,
 		applyRecord: g.changeTable,
@@ -297,10 +297,7 @@
 	previousLeader := g.leaderAddress()
 	g.state.setTable(table)
 	if g.leaderAddress() != previousLeader {
-		select {
-		case g.leaderChanged <- struct{}{}:
-		default:
-		}
+		wake(g.reportNow)
 	}
 	g.log.Part(logging.Keyspace).Info("assignment applied", logging.TableOffset(table.Offset), logging.Name(table.Leader),
 		logging.Count(len(table.Ranges)))
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -68,6 +68,19 @@
 	Failed []model.TargetID
 	// Leaving lists the targets that told the VM in a response that they are about to stop, until the store shows it too.
 	Leaving []fleet.Incarnation
+	// Strikes lists the strikes that the VM recorded or withdrew, until the store shows it too.
+	Strikes []Strike
+}
+
+// Strike is a crash of a target under a request.
+type Strike struct {
+	_           struct{} `cbor:",toarray"`
+	Fingerprint uint64
+	Crashed     fleet.Incarnation
+	// Age is the time since the crash, in milliseconds.
+	Age uint32
+	// Withdrawn is true if the strike does not count any more.
+	Withdrawn bool
 }
 
 // Position is a VM's position among all VMs.
@@ -110,6 +123,8 @@
 	_        struct{} `cbor:",toarray"`
 	Position *Position
 	Batch    *Batch
+	// Strikes are sent to all VMs at once, without waiting for the store.
+	Strikes []Strike
 }
 
 // Server is the leader's side of the links. It is safe for concurrent use.
@@ -216,10 +231,10 @@
 	return position
 }
 
-// Broadcast sends a batch to all VMs. The link of a VM that reads too slowly is closed; that VM then reads the store
-// itself. Broadcast returns ErrLink for a batch that cannot be encoded.
-func (s *Server) Broadcast(batch Batch) error {
-	raw, err := encodePush(Push{Batch: &batch})
+// Broadcast sends a push to all VMs. The link of a VM that reads too slowly is closed; that VM then reads the store
+// itself. Broadcast returns ErrLink for a push that cannot be encoded.
+func (s *Server) Broadcast(push Push) error {
+	raw, err := encodePush(push)
 	if err != nil {
 		return err
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,14 +1,16 @@
 // Package quarantine blocks requests that crash targets.
 //
-// A request is identified by its fingerprint, a keyed hash. A strike is a crash of a target that the request caused.
-// After one strike, this entry VM runs at most one request with the fingerprint at a time; two strikes block it. Table
-// is safe for concurrent use and has one lock.
+// A request is identified by its fingerprint, a keyed hash. A strike is a crash of a target that the request caused. A
+// number of strikes, two by default, blocks the fingerprint. When one is missing, this entry VM runs at most one request
+// with the fingerprint at a time. Table is safe for concurrent use and has one lock.
 package quarantine
 
 import (
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/tarragonpoint/tarragonpoint/internal/fleet"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
 )
 
@@ -16,15 +18,24 @@
 	// BlockDuration is the time for which a fingerprint is blocked after its last strike, and for which a single strike
 	// is kept.
 	BlockDuration = 10 * time.Minute
-	// strikesToBlock is the number of strikes that block a fingerprint.
-	strikesToBlock = 2
+	// defaultStrikesToBlock is the default number of strikes that block a fingerprint.
+	defaultStrikesToBlock = 2
 	// sameCrashWindow is the time within which strikes of a fingerprint for the same target count as one crash reported
-	// by several entry VMs. It is shorter than the time in which a target can restart and crash again.
+	// by several entry VMs if the start of the target's process is not known. It is shorter than the time in which a
+	// target can restart and crash again.
 	sameCrashWindow = time.Second
-	// DefaultCapacity is the default maximum number of fingerprints. At about 100 B each, it limits a table to 0.4 MB.
+	// DefaultCapacity is the default maximum number of fingerprints. At about 200 B each, it limits a table to 0.8 MB.
 	DefaultCapacity = 4096
 )
 
+// Options are the options of a table.
+type Options struct {
+	// Capacity is the maximum number of fingerprints; 0 means DefaultCapacity.
+	Capacity int
+	// StrikesToBlock is the number of strikes that block a fingerprint; 0 means 2.
+	StrikesToBlock int
+}
+
 // Verdict states whether a request may run.
 type Verdict uint8
 
@@ -32,15 +43,15 @@
 const (
 	// Allowed means that the request may run.
 	Allowed Verdict = iota
-	// Busy means that the fingerprint has a strike and another request with it is running.
+	// Busy means that one more strike blocks the fingerprint, and that another request with it is running.
 	Busy
 	// Blocked means that the fingerprint is quarantined.
 	Blocked
 )
 
 type entry struct {
-	strikes    int
-	lastTarget model.TargetID
+	// crashes are the crashes that count as strikes, at most as many as block the fingerprint.
+	crashes    []fleet.Incarnation
 	lastStrike model.Instant
 	running    bool
 }
@@ -49,18 +60,28 @@
 
 // Table holds the fingerprints with strikes at one entry VM.
 type Table struct {
-	mu       sync.Mutex
-	capacity int
-	entries  map[Fingerprint]*entry
+	mu             sync.Mutex
+	capacity       int
+	strikesToBlock int
+	entries        map[Fingerprint]*entry
 }
 
-// NewTable returns an empty table for at most capacity fingerprints.
-func NewTable(capacity int) *Table {
-	return &Table{capacity: max(1, capacity), entries: map[Fingerprint]*entry{}}
+// NewTable returns an empty table for at most capacity fingerprints, which two strikes block.
+func NewTable(capacity int) *Table { return New(Options{Capacity: max(1, capacity)}) }
+
+// New returns an empty table.
+func New(options Options) *Table {
+	if options.Capacity == 0 {
+		options.Capacity = DefaultCapacity
+	}
+	if options.StrikesToBlock == 0 {
+		options.StrikesToBlock = defaultStrikesToBlock
+	}
+	return &Table{capacity: options.Capacity, strikesToBlock: options.StrikesToBlock, entries: map[Fingerprint]*entry{}}
 }
 
-// Begin reports whether a request may run. limited is true if the fingerprint has a strike. A request that is Allowed
-// but limited must not be retried or hedged, and End must be called when its attempt has ended.
+// Begin reports whether a request may run. limited is true if one more strike blocks the fingerprint. A request that is
+// Allowed but limited must not be hedged, its retry needs another Begin, and End must be called when its attempt has ended.
 func (t *Table) Begin(now model.Instant, id Fingerprint) (verdict Verdict, limited bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -71,8 +92,10 @@
 	case e.expired(now) && !e.running:
 		delete(t.entries, id)
 		return Allowed, false
-	case e.strikes >= strikesToBlock:
+	case len(e.crashes) >= t.strikesToBlock:
 		return Blocked, true
+	case len(e.crashes) < t.strikesToBlock-1:
+		return Allowed, false
 	case e.running:
 		return Busy, true
 	}
@@ -80,13 +103,29 @@
 	return Allowed, true
 }
 
+// BlockLeft returns how long a fingerprint remains blocked; 0 if it is not.
+func (t *Table) BlockLeft(now model.Instant, id Fingerprint) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[id]
+	if e == nil || len(e.crashes) < t.strikesToBlock {
+		return 0
+	}
+	return max(0, e.lastStrike.Add(BlockDuration).Sub(now))
+}
+
 // End records the end of an attempt for which Begin returned limited. Strike must be called before End if the target
 // crashed, so that no other run starts in between.
 func (t *Table) End(id Fingerprint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e := t.entries[id]; e != nil {
-		e.running = false
+	e := t.entries[id]
+	if e == nil {
+		return
+	}
+	e.running = false
+	if len(e.crashes) == 0 {
+		delete(t.entries, id)
 	}
 }
 
@@ -94,19 +133,56 @@
 // reports whether the strike is new; it is not if it reports a crash that has been counted already. Strikes that this
 // VM observed are sent to its peers; strikes reported by peers are not relayed.
 func (t *Table) Strike(now model.Instant, id Fingerprint, target model.TargetID) (isNew bool) {
+	return t.StrikeCrash(now, id, fleet.Incarnation{ID: target})
+}
+
+// StrikeCrash is Strike for a crash that happened at an instant, which may be long ago, and ended the given incarnation of
+// a target.
+func (t *Table) StrikeCrash(at model.Instant, id Fingerprint, crashed fleet.Incarnation) (isNew bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entries[id]
-	if e == nil || e.expired(now) {
-		t.makeRoom(now, id)
-		e = &entry{running: e != nil && e.running}
+	if e == nil || e.expired(at) {
+		t.makeRoom(at, id)
+		e = &entry{running: e != nil && e.running, lastStrike: at}
 		t.entries[id] = e
 	}
-	if e.strikes > 0 && e.lastTarget == target && now.Sub(e.lastStrike) < sameCrashWindow {
+	if slices.Contains(e.crashes, crashed) && (crashed.StartedAtMillis != 0 || at.Sub(e.lastStrike) < sameCrashWindow) {
 		return false
 	}
-	e.strikes++
-	e.lastTarget, e.lastStrike = target, now
+	if len(e.crashes) < t.strikesToBlock {
+		e.crashes = append(e.crashes, crashed)
+	}
+	e.lastStrike = max(e.lastStrike, at)
+	return true
+}
+
+// Crashes returns the crashes that count as strikes of a fingerprint.
+func (t *Table) Crashes(id Fingerprint) []fleet.Incarnation {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entries[id]; e != nil {
+		return slices.Clone(e.crashes)
+	}
+	return nil
+}
+
+// Withdraw removes one strike of a fingerprint. It reports whether the strike counted.
+func (t *Table) Withdraw(id Fingerprint, crashed fleet.Incarnation) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[id]
+	if e == nil {
+		return false
+	}
+	index := slices.Index(e.crashes, crashed)
+	if index < 0 {
+		return false
+	}
+	e.crashes = slices.Delete(slices.Clone(e.crashes), index, index+1)
+	if len(e.crashes) == 0 && !e.running {
+		delete(t.entries, id)
+	}
 	return true
 }
 
@@ -135,8 +211,8 @@
 
 // evictBefore reports whether entry a is evicted before entry b.
 func evictBefore(keyA Fingerprint, a *entry, keyB Fingerprint, b *entry) bool {
-	if a.strikes != b.strikes {
-		return a.strikes < b.strikes
+	if len(a.crashes) != len(b.crashes) {
+		return len(a.crashes) < len(b.crashes)
 	}
 	if a.lastStrike != b.lastStrike {
 		return a.lastStrike < b.lastStrike
--- a/internal/standin/platformstub/target.go
+++ b/internal/standin/platformstub/target.go
@@ -50,6 +50,8 @@
 	leaving bool
 	// crashOn reports whether a request ends the target's process when the target begins to run it; nil for none.
 	crashOn func(*http.Request) bool
+	// ended is true once the target has crashed.
+	ended bool
 	// startedAtMillis is the start of the process that the target registers, in Unix milliseconds.
 	startedAtMillis int64
 	// arrivals counts the requests, including rejected ones.
@@ -235,8 +237,18 @@
 	t.respond(w, request, mode, id, len(body))
 }
 
+// Ended reports whether the target's process has crashed.
+func (t *Target) Ended() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ended
+}
+
 // crash ends the target's process during a request.
 func (t *Target) crash() {
+	t.mu.Lock()
+	t.ended = true
+	t.mu.Unlock()
 	// The listener may be closed already by another request that crashes the target.
 	_ = t.server.Listener.Close()
 	// CloseClientConnections waits for this request too.
