Reject registrations that no VM can use and pass none of them on

An entry whose key is not UTF-8 was passed on between VMs, which cannot decode it: every link to the leader broke, and all VMs read the store. The same key for a keyed service would have gone into the assignment. Odd entries were passed on whole with each heartbeat and quoted in the log.

A record that cannot be decoded is relayed as the removal of its key, and only if a target had the key; records of any topic with keys that are not UTF-8 are not relayed.

--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"time"
+	"unicode/utf8"
 
 	"github.com/tarragonpoint/tarragonpoint/internal/fleet"
 	"github.com/tarragonpoint/tarragonpoint/internal/hub"
@@ -176,6 +177,10 @@
 func (g *gateway) relay(topic string, from, to uint64, age time.Duration, records []relayedRecord) {
 	batch := hub.Batch{Topic: topic, From: from, To: to, Age: uint32(max(0, age.Milliseconds()))}
 	for _, record := range records {
+		if !utf8.ValidString(record.Key) {
+			// Such a key names nothing that a VM uses, and no VM could decode the batch.
+			continue
+		}
 		batch.Records = append(batch.Records, hub.Record{
 			Key: record.Key, Value: record.Value, Offset: record.Offset, Delta: record.delta,
 		})
--- a/internal/gateway/topics.go
+++ b/internal/gateway/topics.go
@@ -83,12 +83,7 @@
 		readInterval: func() time.Duration { return targetsReadInterval },
 		pollWait:     func() time.Duration { return 0 },
 		applyList:    g.listTargets,
-		applyRecord: func(now model.Instant, record platform.Record) *relayedRecord {
-			if !g.changeTarget(now, record) && !g.watched.has(now, model.TargetID(record.Key)) {
-				return nil
-			}
-			return fullRecord(record)
-		},
+		applyRecord:  g.applyTarget,
 	}
 	return f
 }
@@ -132,8 +127,8 @@
 	listed := map[model.TargetID]bool{}
 	var relayed []relayedRecord
 	for _, record := range page.Records {
-		if g.changeTarget(now, record) {
-			relayed = append(relayed, *fullRecord(record))
+		if r := g.applyTarget(now, record); r != nil {
+			relayed = append(relayed, *r)
 		}
 		listed[model.TargetID(record.Key)] = true
 	}
@@ -165,20 +160,24 @@
 	return relayed
 }
 
-// changeTarget applies a record and reports whether it changed the target's state in the registry.
-func (g *gateway) changeTarget(now model.Instant, record platform.Record) bool {
+// applyTarget applies a record and returns the record to relay, or nil if there is nothing to relay. A record that cannot be
+// decoded names no target, so the target that had its key is removed here and at the other VMs; the record itself may be
+// of any size and content and is not passed on.
+func (g *gateway) applyTarget(now model.Instant, record platform.Record) *relayedRecord {
 	log := g.log.Part(logging.Registry)
 	id := model.TargetID(record.Key)
 	if len(record.Value) == 0 {
 		g.removeTarget(now, id, "entry removed")
-		return true
+		return fullRecord(record)
 	}
 	registration, err := platform.DecodeTarget(record)
 	if err != nil {
 		log.Event("record rejected", logging.TargetID(id), logging.Offset(model.Offset(record.Offset)),
 			logging.SystemError(err))
-		g.removeTarget(now, id, "entry cannot be decoded")
-		return true
+		if !g.removeTarget(now, id, "entry cannot be decoded") {
+			return nil
+		}
+		return fullRecord(platform.Record{Key: record.Key, Offset: record.Offset})
 	}
 	target := registration.Target
 	changed := false
@@ -188,16 +187,25 @@
 			logging.Address(target.Address), logging.State(targetState(registration)))
 		g.controller.viewChanged()
 	}
-	return changed
+	if !changed && !g.watched.has(now, id) {
+		return nil
+	}
+	return fullRecord(record)
 }
 
-func (g *gateway) removeTarget(now model.Instant, id model.TargetID, reason string) {
+// removeTarget removes a target and reports whether it was known. One whose entry may have expired during an outage of the
+// store is kept for some time.
+func (g *gateway) removeTarget(now model.Instant, id model.TargetID, reason string) (wasKnown bool) {
 	removed := false
-	g.state.withRegistry(func(r *registry.Registry) { removed = r.Remove(now, id) })
+	g.state.withRegistry(func(r *registry.Registry) {
+		_, wasKnown = r.Lookup(now, id)
+		removed = r.Remove(now, id)
+	})
 	if removed {
 		g.log.Part(logging.Registry).Event("target removed", logging.TargetID(id), logging.Reason(reason))
 		g.controller.viewChanged()
 	}
+	return wasKnown
 }
 
 func targetState(registration platform.Registration) string {
