Reject requests that a stopping VM has no time for

What callers saw: an operator of a similar system reports that in a planned stop of one VM, in calm, requests that came late in the grace period were passed on and cut at its end, among them ones that may not be repeated. It could happen here: a stopping VM sent every request, whatever time was left, and 0.4 s before the end of the grace period answered 502 in place of the target. Requests that came in those 0.4 s got 502 as well, although they had not run.

Change: while a VM stops, a request needs 2.5 times its expected time before the last responses, or it is rejected at once as not run, with 503 and a Retry-After of 50 ms, as another VM can take it. The deadline passed to targets ends 0.1 s before the last responses, so a target that needs longer answers itself.

Not covered: a target that needs more than 2.5 times the expected time.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -101,6 +101,9 @@
 			}
 			continue
 		}
+		if !g.fitsBeforeStop(g.clock.Now(), chosen.estimate.Total) {
+			return rejectStopping()
+		}
 		rejected, end, alone, ok := g.beginRun(g.clock.Now(), j)
 		if !ok {
 			return rejected
@@ -141,6 +144,9 @@
 	if route.Timeout > 0 {
 		j.deadline = min(j.deadline, j.arrived.Add(route.Timeout))
 	}
+	if rejected, ok := g.limitByStop(now, j); !ok {
+		return rejected, false
+	}
 	if j.timeLeft(now) <= 0 {
 		return reject(result.DeadlinePassed, "deadline passed before the request was sent", 0), false
 	}
--- a/internal/gateway/role.go
+++ b/internal/gateway/role.go
@@ -94,6 +94,9 @@
 	cold       *coldLimiter
 	deadlines  *deadlineTracker
 	draining   atomic.Bool
+	// lastResponseAt is when requests in progress get a response without waiting for their targets, because the process is
+	// about to end; 0 while the VM is not stopping.
+	lastResponseAt atomic.Int64
 	// connections are the connections of callers.
 	connections callerconn.Tracker
 	// requestsContext ends when the last open requests must get their response.
@@ -301,6 +304,7 @@
 
 // stop drains the VM: the readiness check fails first, and the load balancer needs time to detect that.
 func (g *gateway) stop(callers *http.Server) {
+	g.lastResponseAt.Store(int64(g.clock.Now().Add(g.settings.Grace - responseMargin)))
 	g.draining.Store(true)
 	g.log.Part(logging.Entry).Event("process drains", logging.Duration(g.settings.Grace))
 	ctx, cancel := context.WithTimeout(context.Background(), g.settings.Grace-shutdownMargin)
--- a/internal/standin/platformstub/target.go
+++ b/internal/standin/platformstub/target.go
@@ -107,6 +107,13 @@
 	t.crashOn = crashes
 }
 
+// SetWork sets how long the target works on each request from now on.
+func (t *Target) SetWork(work time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.work = work
+}
+
 // AnnounceStop makes all responses from now on state that the target is about to stop.
 func (t *Target) AnnounceStop() {
 	t.mu.Lock()
@@ -276,8 +283,11 @@
 	case WrongAttemptID:
 		header.Set("X-Tarragonpoint-Attempt-Id", "another")
 	}
+	t.mu.Lock()
+	work := t.work
+	t.mu.Unlock()
 	select {
-	case <-time.After(t.work):
+	case <-time.After(work):
 	case <-request.Context().Done():
 		return
 	}
