Remove expired strikes from the store as fast as they expire

Change: all expired strikes are removed in batches. A failing write is logged once and not every half second.

Evidence: TestStrikeRecordsOfOtherWriters writes 192 expired records and fails with the former code (128 left).

--- a/internal/gateway/strikes.go
+++ b/internal/gateway/strikes.go
@@ -323,19 +323,21 @@
 
 // storeStrikes writes strikes to the store until ctx ends. While there is a leader it writes those of all VMs.
 func (g *gateway) storeStrikes(ctx context.Context) {
-	lastCleanup := g.clock.Now()
+	lastCleanup, failing := g.clock.Now(), false
 	for ctx.Err() == nil {
 		now := g.clock.Now()
 		var err error
 		if g.controller.isLeader.Load() || !g.leaderIsRelaying() {
 			err = g.writeStrikes(ctx, now)
 		}
-		if g.controller.isLeader.Load() && now.Sub(lastCleanup) >= strikeCleanupInterval {
+		if err == nil && g.controller.isLeader.Load() && now.Sub(lastCleanup) >= strikeCleanupInterval {
 			lastCleanup = now
 			err = g.removeExpiredStrikes(ctx, now)
 		}
-		if err != nil && ctx.Err() == nil {
+		if err != nil && !failing && ctx.Err() == nil {
 			g.log.Part(logging.Platform).Event("writing strikes failed", logging.SystemError(err))
+		}
+		if failing = err != nil; failing {
 			sleep(ctx, strikeRetryDelay)
 			continue
 		}
@@ -349,7 +351,7 @@
 	}
 }
 
-// writeStrikes writes the pending strikes to the store.
+// writeStrikes writes up to maxReportedStrikes pending strikes to the store.
 func (g *gateway) writeStrikes(ctx context.Context, now model.Instant) error {
 	var records []platform.Record
 	for _, pending := range g.strikes.takePending(now) {
@@ -366,13 +368,20 @@
 	return g.appendStrikes(ctx, records)
 }
 
-// removeExpiredStrikes removes expired strikes from the store.
+// removeExpiredStrikes removes all expired strikes from the store.
 func (g *gateway) removeExpiredStrikes(ctx context.Context, now model.Instant) error {
-	var records []platform.Record
-	for _, key := range g.strikes.expired(now) {
-		records = append(records, platform.Record{Key: key})
+	for {
+		var records []platform.Record
+		for _, key := range g.strikes.expired(now) {
+			records = append(records, platform.Record{Key: key})
+		}
+		if len(records) == 0 {
+			return nil
+		}
+		if err := g.appendStrikes(ctx, records); err != nil {
+			return err
+		}
 	}
-	return g.appendStrikes(ctx, records)
 }
 
 // appendStrikes appends records to the store and applies them at once.
--- a/internal/gateway/strikes_test.go
+++ b/internal/gateway/strikes_test.go
@@ -223,6 +223,9 @@
 		require.NoError(t, err)
 		return raw
 	}
+	for i := range 3 * maxReportedStrikes {
+		f.store.Put(topicStrikes, fmt.Sprint("old-", i), record("old", time.Now().Add(-quarantine.BlockDuration)))
+	}
 	for i, value := range [][]byte{
 		{0xff}, []byte("{}"), {0x9f, 0x9f, 0x9f}, record("", time.Now()), []byte{0xa1, 0x01, 0x3b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff},
 		record("old", time.Now().Add(-quarantine.BlockDuration)), record("ancient", time.UnixMilli(-1<<62)), record("future", time.Now().Add(time.Hour)),
