Never close a caller's connection whose request is being read

Cause: a shutdown takes a connection for idle if the operating system has no unread bytes of it and no read has returned bytes. Between the moment at which a read takes the bytes and the one at which it returns, neither shows the request; on a VM without processor time that moment lasts.

Change: on an idle connection a read waits for bytes without taking them, records them, and takes them then. One of the two always shows a request.

Evidence: TestRequestThatIsBeingReadIsServedDuringShutdown holds a read between the two and fails before ('unexpected EOF'), passes now; package with -race, 3 times.

--- a/internal/callerconn/peek.go
+++ b/internal/callerconn/peek.go
@@ -21,20 +21,25 @@
 
 // peek reports whether a connection has unread bytes and whether more may come.
 func peek(raw syscall.RawConn) (unread, open bool) {
-	var n int
-	var peekErr error
-	// Control is used instead of Read because Read waits for the server's own read of the connection.
-	err := raw.Control(func(fd uintptr) {
-		var buffer [1]byte
-		n, _, peekErr = unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	})
-	switch {
-	case err != nil:
-		// The server has closed its end of the connection.
+	// Control is used instead of Read because Read waits for the server's own read of the connection. It fails if the server
+	// has closed its end of the connection.
+	if raw.Control(func(fd uintptr) { unread, open = peekSocket(fd) }) != nil {
 		return false, false
-	case errors.Is(peekErr, unix.EAGAIN), errors.Is(peekErr, unix.EINTR):
+	}
+	return unread, open
+}
+
+// peekSocket is peek for a socket.
+func peekSocket(fd uintptr) (unread, open bool) {
+	var buffer [1]byte
+	n, _, err := unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	for errors.Is(err, unix.EINTR) {
+		n, _, err = unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	}
+	switch {
+	case errors.Is(err, unix.EAGAIN):
 		return false, true
-	case peekErr != nil:
+	case err != nil:
 		return false, false
 	default:
 		return n > 0, n > 0
--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -42,6 +42,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	c.isIdle.Store(state == http.StateIdle)
 	if state != http.StateIdle {
 		delete(t.idle, c)
 		return
@@ -79,8 +80,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for c := range t.idle {
-		// The bytes of a request are unread until hasRead is set.
-		if raw := rawConn(c); (raw == nil || !hasUnread(raw)) && !c.hasRead.Load() {
+		// hasRead is set before the bytes of a request are read, so a request is always seen by one of the two.
+		if (c.raw == nil || !hasUnread(c.raw)) && !c.hasRead.Load() {
 			_ = c.Close()
 			delete(t.idle, c)
 			closed++
@@ -96,17 +97,24 @@
 	if err != nil {
 		return nil, err
 	}
-	return &trackedConn{Conn: conn}, nil
+	return &trackedConn{Conn: conn, raw: rawConn(conn)}, nil
 }
 
 // trackedConn records whether bytes have been read since the connection became idle. http.StateActive comes only after
 // the header of a request has been read.
 type trackedConn struct {
 	net.Conn
+	// raw is nil if the connection has none.
+	raw    syscall.RawConn
+	isIdle atomic.Bool
+	// hasRead is set before the first bytes are read from an idle connection.
 	hasRead atomic.Bool
 }
 
 func (c *trackedConn) Read(buffer []byte) (int, error) {
+	if c.isIdle.Load() && c.raw != nil {
+		c.awaitBytes()
+	}
 	n, err := c.Conn.Read(buffer)
 	if n > 0 {
 		c.hasRead.Store(true)
@@ -114,6 +122,20 @@
 	return n, err
 }
 
+// awaitBytes waits until bytes have arrived, the connection has ended or its read deadline has passed. It sets hasRead while
+// the bytes are still unread: once they are, nothing else shows them until the read returns, which takes long on a VM
+// without processor time.
+func (c *trackedConn) awaitBytes() {
+	// An error is returned again by the read that follows.
+	_ = c.raw.Read(func(fd uintptr) bool {
+		unread, open := peekSocket(fd)
+		if unread {
+			c.hasRead.Store(true)
+		}
+		return unread || !open
+	})
+}
+
 // SyscallConn returns the raw connection.
 func (c *trackedConn) SyscallConn() (syscall.RawConn, error) {
 	socket, ok := c.Conn.(syscall.Conn)
--- a/internal/callerconn/tracker_test.go
+++ b/internal/callerconn/tracker_test.go
@@ -20,7 +20,9 @@
 type stallingListener struct {
 	*net.TCPListener
 	stalled atomic.Bool
-	last    atomic.Pointer[stallingConn]
+	// takes stalls reads after they have taken the bytes from the operating system.
+	takes atomic.Bool
+	last  atomic.Pointer[stallingConn]
 }
 
 func (l *stallingListener) Accept() (net.Conn, error) {
@@ -32,7 +34,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &stallingConn{TCPConn: conn, raw: raw, stalled: &l.stalled}
+	c := &stallingConn{TCPConn: conn, raw: raw, stalled: &l.stalled, takes: &l.takes}
 	l.last.Store(c)
 	return c, nil
 }
@@ -41,6 +43,8 @@
 	*net.TCPConn
 	raw     syscall.RawConn
 	stalled *atomic.Bool
+	takes   *atomic.Bool
+	taken   atomic.Bool
 }
 
 func (c *stallingConn) Read(buffer []byte) (int, error) {
@@ -50,7 +54,12 @@
 	for c.stalled.Load() {
 		time.Sleep(time.Millisecond)
 	}
-	return c.TCPConn.Read(buffer)
+	n, err := c.TCPConn.Read(buffer)
+	for n > 0 && c.takes.Load() {
+		c.taken.Store(true)
+		time.Sleep(time.Millisecond)
+	}
+	return n, err
 }
 
 // startServer starts a server that responds with the path of a request, and returns a connection to it on which one request
@@ -139,3 +148,22 @@
 	assert.Less(t, time.Since(started), settleTime/2)
 	listener.stalled.Store(false)
 }
+
+// Guards against a request without an answer, because a shutdown closed its connection when the server had taken its bytes
+// from the operating system and had no processor time to go on.
+func TestRequestThatIsBeingReadIsServedDuringShutdown(t *testing.T) {
+	t.Parallel()
+	server, tracker, listener, caller, reader := startServer(t)
+	listener.takes.Store(true)
+	_, err := io.WriteString(caller, "GET /second HTTP/1.1\r\nHost: a.example\r\n\r\n")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return listener.last.Load().taken.Load() }, settleTime, time.Millisecond)
+	stopped := make(chan error, 1)
+	go func() {
+		_, err := tracker.Shutdown(context.Background(), server)
+		stopped <- err
+	}()
+	time.AfterFunc(200*time.Millisecond, func() { listener.takes.Store(false) })
+	readBody(t, reader, "/second")
+	require.NoError(t, <-stopped)
+}
