Write fewer strikes and log lines when many targets end at once

Change: the leader collects strikes for 0.1 s, a VM without a link for a random part of 1 s. A strike is logged by the VM that observed it and, if it blocks the request, by all. The leader reads the topic every 1.8 s instead of every second, which is enough for strikes to be known within 3 s: its own writes are relayed at once.

--- a/internal/gateway/broken.go
+++ b/internal/gateway/broken.go
@@ -73,7 +73,7 @@
 	return *j.identity
 }
 
-// fingerprint identifies requests of the same caller with the same content.
+// fingerprint identifies requests with the same content, whoever sends them: copies of a request come from several addresses.
 func (i requestIdentity) fingerprint() quarantine.Fingerprint { return i.content }
 
 func (i requestIdentity) fields() []logging.Field {
@@ -90,8 +90,11 @@
 		logging.RequestID(j.callerHeaders.AttemptID), logging.TargetID(attempt.placement.target.ID),
 		logging.Service(j.service), logging.State(attempt.liveness.String()), logging.Attempt(j.sends),
 		logging.Elapsed(g.clock.Now().Sub(j.arrived)))
-	g.log.Part(logging.Registry).Event("connection closed during a request", fields...)
-	if attempt.liveness == livenessEnded {
-		g.recordStrike(j, attempt.placement.target.Incarnation())
+	const text = "connection closed during a request"
+	if attempt.liveness != livenessEnded {
+		g.log.Part(logging.Registry).Debug(text, fields...)
+		return
 	}
+	g.log.Part(logging.Registry).Event(text, fields...)
+	g.recordStrike(j, attempt.placement.target.Incarnation())
 }
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -145,7 +145,7 @@
 			g.applyBatch(push.Batch)
 		}
 		for _, strike := range push.Strikes {
-			g.applyStrike(decodeStrike(g.clock.Now(), strike), "push of the leader")
+			g.applyStrike(decodeStrike(g.clock.Now(), strike), strikePushed)
 		}
 	}
 }
--- a/internal/gateway/strikes.go
+++ b/internal/gateway/strikes.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"encoding/hex"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -26,15 +27,19 @@
 	busyRetryAfter = 500 * time.Millisecond
 	// maxReportedStrikes bounds the strikes in one report and in one write to the store.
 	maxReportedStrikes = 64
+	// strikeWriteDelay is how long the leader collects strikes before it writes them: when many targets end at once, there
+	// are hundreds. VMs without a link to the leader wait for a random part of maxStrikeWriteDelay, because all of them may
+	// have strikes to write.
+	strikeWriteDelay    = 100 * time.Millisecond
+	maxStrikeWriteDelay = time.Second
 	// strikeRetryDelay is the delay before a failed write of strikes is retried.
 	strikeRetryDelay = 500 * time.Millisecond
 	// strikePollWait is how long a read of the strikes waits for one. A lost response is detected after this time plus the
 	// call's timeout; the sum must stay below the platform's contact limit of 3 s.
 	strikePollWait = 1800 * time.Millisecond
-	// strikeLeaderPollWait is the same for the leader, and strikeFreshness how long its reads keep the strikes of the other
-	// VMs up to date.
-	strikeLeaderPollWait = time.Second
-	strikeFreshness      = 2400 * time.Millisecond
+	// strikeFreshness is how long a read by the leader keeps the strikes of the other VMs up to date. It exceeds the time
+	// between two reads, and stays below the contact limit too.
+	strikeFreshness = 2600 * time.Millisecond
 	// strikesReadTimeout is how long a VM that has started is not ready because it has not read the strikes yet.
 	strikesReadTimeout = time.Second
 	// strikeCleanupInterval is the time between two removals of expired strikes from the store.
@@ -43,6 +48,14 @@
 	topicStrikes = "keyed.tarragonpoint-strikes"
 )
 
+// Sources from which a VM learns of a strike, for logs and metrics.
+const (
+	strikeObserved = "observed"
+	strikeReported = "report of a VM"
+	strikePushed   = "push of the leader"
+	strikeRead     = "record of the store"
+)
+
 // strikeKey identifies a strike.
 type strikeKey struct {
 	fingerprint quarantine.Fingerprint
@@ -208,7 +221,7 @@
 func (g *gateway) recordStrike(j *job, crashed fleet.Incarnation) {
 	g.shareStrike(strike{
 		strikeKey: strikeKey{fingerprint: j.identify().fingerprint(), crashed: crashed}, at: g.clock.Now(),
-	}, "observed")
+	}, strikeObserved)
 }
 
 // clearStrikes withdraws the strikes of a request that a target has run to its end.
@@ -220,7 +233,7 @@
 	for _, crashed := range g.quarantine.Crashes(fingerprint) {
 		g.shareStrike(strike{
 			strikeKey: strikeKey{fingerprint: fingerprint, crashed: crashed}, at: g.clock.Now(), withdrawn: true,
-		}, "observed")
+		}, strikeObserved)
 	}
 }
 
@@ -244,7 +257,7 @@
 // acceptStrikes applies the strikes in a report while this VM is the leader.
 func (g *gateway) acceptStrikes(reported []hub.Strike) {
 	for _, s := range reported {
-		g.shareStrike(decodeStrike(g.clock.Now(), s), "report of a VM")
+		g.shareStrike(decodeStrike(g.clock.Now(), s), strikeReported)
 	}
 }
 
@@ -261,24 +274,31 @@
 	}
 	if isNew {
 		g.metrics.strike(source, s.withdrawn)
-		g.log.Part(logging.Registry).Event(strikeText(s.withdrawn), logging.Fingerprint(uint64(s.fingerprint)),
-			logging.TargetID(s.crashed.ID), logging.Reason(source), logging.DataAge(g.clock.Now().Sub(s.at)),
-			logging.Duration(g.quarantine.BlockLeft(g.clock.Now(), s.fingerprint)))
+		g.logStrike(s, source)
 	}
 	return isNew
 }
 
-func strikeText(withdrawn bool) string {
-	if withdrawn {
-		return "strike withdrawn"
+// logStrike logs a strike at the VM that observed it, and at all VMs if it blocks the request.
+func (g *gateway) logStrike(s strike, source string) {
+	now := g.clock.Now()
+	left := g.quarantine.BlockLeft(now, s.fingerprint)
+	text := "strike recorded"
+	if s.withdrawn {
+		text = "strike withdrawn"
 	}
-	return "strike recorded"
+	write := g.log.Part(logging.Registry).Debug
+	if source == strikeObserved || left > 0 {
+		write = g.log.Part(logging.Registry).Event
+	}
+	write(text, logging.Fingerprint(uint64(s.fingerprint)), logging.TargetID(s.crashed.ID), logging.Reason(source),
+		logging.DataAge(now.Sub(s.at)), logging.Duration(left))
 }
 
 func (g *gateway) strikeFollower() *topicFollower {
 	return &topicFollower{
 		name: "strikes", topic: topicStrikes, gw: g, ignoresOutages: true,
-		pollWait: func() time.Duration { return strikePollWait }, leaderPollWait: strikeLeaderPollWait,
+		pollWait: func() time.Duration { return strikePollWait }, leaderPollWait: strikePollWait,
 		relistAge: topicRelistAge, freshness: strikeFreshness,
 		readInterval: func() time.Duration { return 0 },
 		applyList: func(now model.Instant, page platform.Page) []relayedRecord {
@@ -318,7 +338,7 @@
 		at: now.Add(-age), withdrawn: decoded.Withdrawn,
 	}
 	g.strikes.seen(record.Key, read)
-	g.applyStrike(read, "record of the store")
+	g.applyStrike(read, strikeRead)
 }
 
 // storeStrikes writes strikes to the store until ctx ends. While there is a leader it writes those of all VMs.
@@ -344,6 +364,7 @@
 		timer := time.NewTimer(hub.ReportInterval)
 		select {
 		case <-g.strikes.wake:
+			sleep(ctx, g.strikeWriteDelay())
 		case <-timer.C:
 		case <-ctx.Done():
 		}
@@ -351,6 +372,14 @@
 	}
 }
 
+// strikeWriteDelay returns how long this VM collects strikes before it writes them.
+func (g *gateway) strikeWriteDelay() time.Duration {
+	if g.controller.isLeader.Load() {
+		return strikeWriteDelay
+	}
+	return time.Duration(rand.Int64N(int64(maxStrikeWriteDelay)))
+}
+
 // writeStrikes writes up to maxReportedStrikes pending strikes to the store.
 func (g *gateway) writeStrikes(ctx context.Context, now model.Instant) error {
 	var records []platform.Record
--- a/internal/gateway/strikes_test.go
+++ b/internal/gateway/strikes_test.go
@@ -30,7 +30,7 @@
 	g.shareStrike(strike{
 		strikeKey: strikeKey{fingerprint: fingerprint, crashed: fleet.Incarnation{ID: model.TargetID(fmt.Sprint("x-", target)), StartedAtMillis: 7}},
 		at:        g.clock.Now(),
-	}, "observed")
+	}, strikeObserved)
 }
 
 // isBlocked returns a condition that is true once a VM blocks a fingerprint.
