Do not block popular requests when many targets end at once

What callers would have seen: when several targets end at the same time, for example those of a zone, copies of a popular request run on several of them.

Cause: a strike says that a request was running when a target ended, not that it is the cause.

A request that crashes its targets never runs to its end, so it is blocked as before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -373,7 +373,7 @@
 		err: attempt.err,
 	}
 	if attempt.outcome == attemptResponded {
-		g.clearStrikes(j)
+		g.recordRun(now, j)
 		base.targetResponse = attempt.response
 		base.code = result.OK
 		return base, true
--- a/internal/gateway/broken.go
+++ b/internal/gateway/broken.go
@@ -85,6 +85,7 @@
 	if attempt.liveness == livenessUnchecked {
 		return
 	}
+	j.broken = true
 	g.metrics.brokenAttempt(attempt.liveness.String())
 	fields := append(j.identify().fields(),
 		logging.RequestID(j.callerHeaders.AttemptID), logging.TargetID(attempt.placement.target.ID),
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -34,8 +34,10 @@
 	connections []uint64
 	// mayHaveRun is true once an attempt has failed or ended with an unknown outcome.
 	mayHaveRun bool
-	// identity is set once an attempt has broken off, or while requests have strikes; see job.identify.
+	// identity is set by the first call of identify.
 	identity *requestIdentity
+	// broken is true once a target has closed the connection of an attempt without a response.
+	broken bool
 	// alone is true if the current attempt must not be hedged, because the request has crashed targets.
 	alone bool
 }
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -225,8 +225,8 @@
 	if departed, left := j.caller.departure(); left {
 		fields = append(fields, logging.CallerLeft(departed.phase.String(), departed.detectedBy(), departed.at.Sub(j.arrived)))
 	}
-	if j.identity != nil {
-		fields = append(fields, j.identity.fields()...)
+	if j.broken || response.code == result.Quarantined {
+		fields = append(fields, j.identify().fields()...)
 	}
 	if response.err != nil {
 		fields = append(fields, logging.ErrorType(response.err), logging.SystemError(response.err))
--- a/internal/gateway/role.go
+++ b/internal/gateway/role.go
@@ -74,9 +74,11 @@
 	controller *controller
 	// reportNow wakes the goroutine that sends reports when the leader changes or a strike is to be shared.
 	reportNow chan struct{}
-	// quarantine blocks requests that crash targets, strikes shares its strikes with the other VMs.
+	// quarantine blocks requests that crash targets, strikes shares its strikes with the other VMs, and runs remembers what
+	// targets have lately run to its end.
 	quarantine *quarantine.Table
 	strikes    *sharedStrikes
+	runs       *quarantine.Runs
 	// completeSince is when this VM could first have served but for the strikes; 0 before.
 	completeSince atomic.Int64
 	// lastReadTable is the newest table that the follower of the assignment has read; only that follower uses it.
@@ -148,6 +150,7 @@
 		watched: newWatchList(), split: newSplitter(), cold: newColdLimiter(), deadlines: newDeadlineTracker(),
 		budgets: map[model.Service]budget{}, throttle: throttle.New(), unheld: newUnheldRanges(),
 		quarantine: quarantine.New(quarantine.Options{StrikesToBlock: strikesToBlock}), strikes: newSharedStrikes(),
+		runs: quarantine.NewRuns(),
 	}
 	g.load = newKeyLoad(g.clock.Now)
 	g.hub = hub.NewServer(g.clock.Now, func() bool { return g.controller.isLeader.Load() }, g.leadershipConfirmed, g.handleReport)
--- a/internal/gateway/strikes.go
+++ b/internal/gateway/strikes.go
@@ -217,19 +217,28 @@
 	return callerResponse{}, end, limited, true
 }
 
-// recordStrike counts the crash of a target under a request, and shares it with the other VMs.
+// recordStrike counts the crash of a target under a request, and shares it with the other VMs. A request that has just run
+// to its end elsewhere is not the cause.
 func (g *gateway) recordStrike(j *job, crashed fleet.Incarnation) {
-	g.shareStrike(strike{
-		strikeKey: strikeKey{fingerprint: j.identify().fingerprint(), crashed: crashed}, at: g.clock.Now(),
-	}, strikeObserved)
+	now, fingerprint := g.clock.Now(), j.identify().fingerprint()
+	if g.runs.Recent(now, fingerprint) {
+		return
+	}
+	g.shareStrike(strike{strikeKey: strikeKey{fingerprint: fingerprint, crashed: crashed}, at: now}, strikeObserved)
+}
+
+// recordRun records that a target has run a request to its end, and withdraws the strikes of the request.
+func (g *gateway) recordRun(now model.Instant, j *job) {
+	fingerprint := j.identify().fingerprint()
+	g.runs.Add(now, fingerprint)
+	g.withdrawStrikes(fingerprint)
 }
 
-// clearStrikes withdraws the strikes of a request that a target has run to its end.
-func (g *gateway) clearStrikes(j *job) {
+// withdrawStrikes withdraws all strikes of a request.
+func (g *gateway) withdrawStrikes(fingerprint quarantine.Fingerprint) {
 	if g.quarantine.Len() == 0 {
 		return
 	}
-	fingerprint := j.identify().fingerprint()
 	for _, crashed := range g.quarantine.Crashes(fingerprint) {
 		g.shareStrike(strike{
 			strikeKey: strikeKey{fingerprint: fingerprint, crashed: crashed}, at: g.clock.Now(), withdrawn: true,
@@ -272,11 +281,15 @@
 	} else {
 		isNew = g.quarantine.StrikeCrash(s.at, s.fingerprint, s.crashed)
 	}
-	if isNew {
-		g.metrics.strike(source, s.withdrawn)
-		g.logStrike(s, source)
+	if !isNew {
+		return false
+	}
+	g.metrics.strike(source, s.withdrawn)
+	g.logStrike(s, source)
+	if !s.withdrawn && g.runs.Recent(g.clock.Now(), s.fingerprint) {
+		g.withdrawStrikes(s.fingerprint)
 	}
-	return isNew
+	return true
 }
 
 // logStrike logs a strike at the VM that observed it, and at all VMs if it blocks the request.
