Bound the reads of strikes by VMs without a link to the leader

Cause, read from the code: a VM to which no leader relays the strikes reads them again as soon as one is written. When many targets end at once, several records a second each woke the reads of up to 295 VMs.

Change: such a VM reads at most once a second, so that it knows a strike within about a second.

Evidence: tests of strikes and crashes pass.

--- a/internal/gateway/strikes.go
+++ b/internal/gateway/strikes.go
@@ -37,6 +37,9 @@
 	// strikePollWait is how long a read of the strikes waits for one. A lost response is detected after this time plus the
 	// call's timeout; the sum must stay below the platform's contact limit of 3 s.
 	strikePollWait = 1800 * time.Millisecond
+	// strikeReadInterval is the time between two reads of a VM to which no leader relays the strikes. When many targets end at
+	// once, every write would otherwise wake the reads of all such VMs.
+	strikeReadInterval = time.Second
 	// strikeFreshness is how long a read by the leader keeps the strikes of the other VMs up to date. It exceeds the time
 	// between two reads, and stays below the contact limit too.
 	strikeFreshness = 2600 * time.Millisecond
@@ -313,7 +316,7 @@
 		name: "strikes", topic: topicStrikes, gw: g, ignoresOutages: true,
 		pollWait: func() time.Duration { return strikePollWait }, leaderPollWait: strikePollWait,
 		relistAge: topicRelistAge, freshness: strikeFreshness,
-		readInterval: func() time.Duration { return 0 },
+		readInterval: func() time.Duration { return strikeReadInterval },
 		applyList: func(now model.Instant, page platform.Page) []relayedRecord {
 			var relayed []relayedRecord
 			for _, record := range page.Records {
