Review: case of two instances at work on the same keys

Tried: an instance is added to a sharded service while its only route is removed and added again. Command: bash review/build.sh; review/1/run.sh, and with TROUBLE=0.

--- a/review/_tools/harness/instance.go
+++ b/review/_tools/harness/instance.go
@@ -41,6 +41,11 @@
 	waiting   int
 	holds     []lease
 	keys      map[int]int
+	startedAt time.Time
+	// releasedAt is when the last release came.
+	releasedAt time.Time
+	// leases are the leases that were in force when a release came.
+	leases    []lease
 	arrivals  []arrival
 	slotFree  chan struct{}
 	stopBeats context.CancelFunc
@@ -76,6 +81,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	i.mu.Lock()
 	i.born, i.seq, i.holds, i.up, i.running, i.waiting = time.Now().UnixMilli(), 0, nil, true, 0, 0
+	i.startedAt = time.Now()
 	i.coldUntil = time.Time{}
 	if cold > 0 {
 		i.coldUntil = time.Now().Add(cold)
@@ -214,6 +220,8 @@
 		}
 	}
 	i.holds = append(i.cut(o), lease{from: o.From, to: o.To, fence: o.Fence, until: time.Now().Add(hold)})
+	i.w.add("%s is granted %d..%d with fence %d for %s", i.id, o.From, o.To, o.Fence, hold)
+	go i.w.checkGrant(i, o, time.Now())
 }
 
 // cut returns the leases without the keys of an order.
@@ -245,7 +253,10 @@
 		return
 	}
 	i.mu.Lock()
+	i.releasedAt = time.Now()
+	i.leases = append(i.leases, i.holds...)
 	i.holds = append(i.cut(o), lease{from: o.From, to: o.To, fence: o.Fence})
+	i.w.add("%s gets a release of %d..%d with fence %d; it works on these keys: %v", i.id, o.From, o.To, o.Fence, i.worksOn(o))
 	for i.worksOn(o) {
 		i.mu.Unlock()
 		time.Sleep(5 * time.Millisecond)
@@ -255,6 +266,48 @@
 	w.Header().Set("X-Tarragonpoint-Handover", fmt.Sprintf("%s-%d", i.id, o.Fence))
 }
 
+// releasesSince returns the number of instances that got a release later than 3 s (a cold start) after an instant.
+func (w *world) releasesSince(start time.Time) int {
+	count := 0
+	for _, i := range w.instances {
+		i.mu.Lock()
+		if i.releasedAt.After(start.Add(3 * time.Second)) {
+			count++
+		}
+		i.mu.Unlock()
+	}
+	return count
+}
+
+// checkGrant records that an instance was given keys on which another is still at work before its hold has run out.
+func (w *world) checkGrant(to *instance, o order, at time.Time) {
+	for _, other := range w.instances {
+		if other == to {
+			continue
+		}
+		other.mu.Lock()
+		for _, l := range append(append([]lease(nil), other.leases...), other.holds...) {
+			part := order{From: max(o.From, l.from), To: min(o.To, l.to)}
+			if part.From <= part.To && at.Before(l.until) && other.worksOn(part) && other.up {
+				w.mu.Lock()
+				w.violations = append(w.violations, fmt.Sprintf(
+					"%s is given keys %d..%d while %s is still at work on some of them, %.3f s before its hold has run out",
+					to.id, part.From, part.To, other.id, l.until.Sub(at).Seconds()))
+				w.mu.Unlock()
+				break
+			}
+		}
+		other.mu.Unlock()
+	}
+}
+
+// sharedKeys returns what checkGrant has found.
+func (w *world) sharedKeys() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]string(nil), w.violations...)
+}
+
 func (i *instance) worksOn(o order) bool {
 	for key, count := range i.keys {
 		if count > 0 && o.From <= key && key <= o.To {
--- a/review/_tools/harness/world.go
+++ b/review/_tools/harness/world.go
@@ -39,6 +39,8 @@
 	storeAddr string
 	machines  []*machine
 	instances []*instance
+	// violations are the grants that broke OWNER; mu guards them.
+	violations []string
 }
 
 // machine is one process of the role gateway.
