--- a/review/_tools/harness/case_owner.go
+++ b/review/_tools/harness/case_owner.go
@@ -51,16 +51,19 @@
 		return "", fmt.Errorf("no keys move to r-new")
 	}
 	w.add("the first release since r-new is warm")
-	if w.trouble {
-		w.put("keyed.op", "config", configuration(5, []route{readsRoute}, plainService("desk")))
-		w.add("configuration r5 without the route of review, and without review")
-	} else {
-		w.put("keyed.op", "config", full(5))
-		w.add("configuration r5 with the route of review")
+	for version := 5; version <= 17; version += 6 {
+		if w.trouble {
+			w.put("keyed.op", "config", configuration(version, []route{readsRoute}, plainService("desk")))
+			w.add("configuration r%d without the route of review, and without review", version)
+		} else {
+			w.put("keyed.op", "config", full(version))
+			w.add("configuration r%d with the route of review", version)
+		}
+		time.Sleep(330 * time.Millisecond)
+		w.put("keyed.op", "config", full(version+3))
+		w.add("configuration r%d with the route of review", version+3)
+		time.Sleep(330 * time.Millisecond)
 	}
-	time.Sleep(330 * time.Millisecond)
-	w.put("keyed.op", "config", full(8))
-	w.add("configuration r8 with the route of review")
 	time.Sleep(5 * time.Second)
 	for _, stop := range stops {
 		stop()
