--- a/review/_tools/harness/instance.go
+++ b/review/_tools/harness/instance.go
@@ -41,9 +41,6 @@
 	waiting   int
 	holds     []lease
 	keys      map[int]int
-	startedAt time.Time
-	// releasedAt is when the last release came.
-	releasedAt time.Time
 	// leases are the leases that were in force when a release came.
 	leases    []lease
 	arrivals  []arrival
@@ -81,7 +78,6 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	i.mu.Lock()
 	i.born, i.seq, i.holds, i.up, i.running, i.waiting = time.Now().UnixMilli(), 0, nil, true, 0, 0
-	i.startedAt = time.Now()
 	i.coldUntil = time.Time{}
 	if cold > 0 {
 		i.coldUntil = time.Now().Add(cold)
@@ -253,7 +249,6 @@
 		return
 	}
 	i.mu.Lock()
-	i.releasedAt = time.Now()
 	i.leases = append(i.leases, i.holds...)
 	i.holds = append(i.cut(o), lease{from: o.From, to: o.To, fence: o.Fence})
 	i.w.add("%s gets a release of %d..%d with fence %d; it works on these keys: %v", i.id, o.From, o.To, o.Fence, i.worksOn(o))
@@ -266,19 +261,6 @@
 	w.Header().Set("X-Tarragonpoint-Handover", fmt.Sprintf("%s-%d", i.id, o.Fence))
 }
 
-// releasesSince returns the number of instances that got a release later than 3 s (a cold start) after an instant.
-func (w *world) releasesSince(start time.Time) int {
-	count := 0
-	for _, i := range w.instances {
-		i.mu.Lock()
-		if i.releasedAt.After(start.Add(3 * time.Second)) {
-			count++
-		}
-		i.mu.Unlock()
-	}
-	return count
-}
-
 // checkGrant records that an instance was given keys on which another is still at work before its hold has run out.
 func (w *world) checkGrant(to *instance, o order, at time.Time) {
 	for _, other := range w.instances {
