--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,4 +2,4 @@
 # Plays the case; exits with 1 if the rule was broken, 0 if it held, 2 if it could not run. TROUBLE=0 leaves the disruption out.
 set -u
 cd "$(dirname "$0")/../.." || exit 2
-exec review/bin/harness drain "review/3"
+exec target/review-harness drain "review/3"
