Keep ranges of a removed service until no previous holder can hold them

Cause: dropServices removed a range once its owner held nothing, and did not look at previous holders that had neither released the range nor let it expire. coverGaps then assigned the keys as if nobody had held them. The same happens if the service returns while the table without it is being written: the owner was granted the keys again under the old table, and the written one does not list it.

TestReturningServiceWaitsForPreviousHolders and TestDroppedRangeIsNotGrantedWhileTableIsWritten failed before.

Change: a range is dropped when neither owner nor previous holders can hold it, and is not granted while a table that drops it is being written.

--- a/internal/keyspace/fuzz_test.go
+++ b/internal/keyspace/fuzz_test.go
@@ -60,6 +60,7 @@
 		"reuse":      func() { sim.restartTarget(sim.targets[target], true) },
 		"lapse":      func() { sim.targets[target].registered = on },
 		"slow":       func() { sim.slow = on },
+		"service":    func() { sim.unconfigured = on },
 		"resign":     func() { sim.resign(vm) },
 		"all-healed": sim.heal,
 	}
@@ -152,3 +153,41 @@
 	assert.False(t, m.holdEnded(sim.now, owner.Incarnation))
 	assert.True(t, m.holdEnded(sim.now.Add(sim.settings.holdBound()), owner.Incarnation))
 }
+
+// Guards against two holders of a key: a service that leaves the configuration while its keys move, and returns, must not
+// be assigned keys anew that a previous holder has not released.
+func TestReturningServiceWaitsForPreviousHolders(t *testing.T) {
+	sim := newSimulation(5, 1, 4)
+	sim.run(2 * time.Second)
+	require.Zero(t, sim.unheld())
+	const unreachable = 1
+	sim.pathCut[[2]int{0, unreachable}] = true
+	sim.targets[unreachable].registered = false
+	sim.run(300 * time.Millisecond)
+	sim.unconfigured = true
+	sim.run(300 * time.Millisecond)
+	sim.unconfigured = false
+	sim.run(3 * sim.settings.holdBound())
+	assert.Empty(t, sim.violation)
+	assert.Zero(t, sim.unheld())
+}
+
+// Guards against two holders of a key: a service that returns while the table without it is still being written must not
+// be granted its keys under the old table, because the written one shows them as held by nobody.
+func TestDroppedRangeIsNotGrantedWhileTableIsWritten(t *testing.T) {
+	sim := newSimulation(6, 1, 2)
+	sim.run(2 * time.Second)
+	require.Zero(t, sim.unheld())
+	m := sim.vms[0].manager
+	view := sim.view()
+	m.SetView(View{Candidates: view.Candidates})
+	now := sim.now.Add(2 * sim.settings.holdBound())
+	m.TableRead(now, nil, m.nextOffset)
+	m.Step(now)
+	require.NotNil(t, m.pending)
+	require.Empty(t, m.pending.Ranges)
+	m.SetView(view)
+	for _, command := range m.Step(now.Add(time.Second)) {
+		assert.NotEqual(t, GrantKeys, command.Kind, "%+v", command)
+	}
+}
--- a/internal/keyspace/manager.go
+++ b/internal/keyspace/manager.go
@@ -326,7 +326,7 @@
 		m.isUnresponsive(r.Owner.Incarnation) {
 		return Command{}, false
 	}
-	if m.resigning && r.Ready || !m.keyed[r.Service] {
+	if m.resigning && r.Ready || !m.keyed[r.Service] || m.isBeingDropped(r) {
 		return Command{}, false
 	}
 	if state.connectionID == 0 && now.Sub(m.confirmedAt) >= m.settings.MaxTableAge {
@@ -343,6 +343,12 @@
 	}, true
 }
 
+// isBeingDropped reports whether the table that is being written does not assign the keys of a range. Nobody may get them
+// before that table is replaced, because its successor treats them as held by nobody.
+func (m *Manager) isBeingDropped(r *Range) bool {
+	return m.pending != nil && m.pending.Find(r.Service, r.From) == nil
+}
+
 // expireTargetMarks removes old marks, so that unresponsive targets are tried again.
 func (m *Manager) expireTargetMarks(now model.Instant) {
 	for incarnation, since := range m.unresponsive {
--- a/internal/keyspace/plan.go
+++ b/internal/keyspace/plan.go
@@ -148,11 +148,13 @@
 	return uniformLoad
 }
 
-// dropServices removes the ranges of services that are no longer keyed, once their grants have expired.
+// dropServices removes the ranges of services that are no longer keyed, once neither their owners nor previous holders
+// can hold them. If the service returns, its keys are assigned as keys that nobody holds.
 func (p *planner) dropServices() bool {
 	kept := p.draft.Ranges[:0]
 	for _, r := range p.draft.Ranges {
-		if p.m.keyed[r.Service] || !p.m.holdEnded(p.now, r.Owner.Incarnation) {
+		unheld := p.m.holdEnded(p.now, r.Owner.Incarnation) && p.m.previousReleased(p.now, &r, p.m.stateOf(&r))
+		if p.m.keyed[r.Service] || !unheld {
 			kept = append(kept, r)
 		}
 	}
--- a/internal/keyspace/simulation_test.go
+++ b/internal/keyspace/simulation_test.go
@@ -30,8 +30,10 @@
 	storeCut  map[int]bool
 	pathCut   map[[2]int]bool
 	slow      bool
-	keys      []int
-	violation string
+	// unconfigured is true while the configuration lacks the service.
+	unconfigured bool
+	keys         []int
+	violation    string
 	// connections counts the opened connections; a connection's ID is its number.
 	connections uint64
 	grants      int
@@ -203,6 +205,9 @@
 }
 
 func (sim *simulation) view() View {
+	if sim.unconfigured {
+		return View{}
+	}
 	view := View{Services: []model.Service{simulatedService}}
 	for _, target := range sim.targets {
 		if target.registered {
@@ -408,7 +413,7 @@
 
 // heal ends all faults and restarts the VMs and targets that are down or leaving.
 func (sim *simulation) heal() {
-	sim.storeDown, sim.slow = false, false
+	sim.storeDown, sim.slow, sim.unconfigured = false, false, false
 	sim.storeCut, sim.pathCut = map[int]bool{}, map[[2]int]bool{}
 	for i, vm := range sim.vms {
 		vm.paused = false
