Ignore reports of targets that the store executes late

Cause: a write whose response is lost may be executed seconds later. Reports of one incarnation carry increasing numbers, which were decoded and never read, so an earlier report in state ready took the announced stop back, at all VMs.

TestLateReportDoesNotTakeStopBack (five VMs, with cut and slow links and one that started in between) and TestLateReportDoesNotReplaceNewerOne failed before.

Change: the registry ignores a report with a lower number than the last one of its incarnation, also after the entry was removed, and logs it. After 30 s without a newer report a lower number counts again, so that a number of another writer does not exclude a target for good.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -147,6 +147,8 @@
 	// StartedAtMillis is when the target's process started, in Unix milliseconds of the target's clock. It distinguishes
 	// successive incarnations of an ID.
 	StartedAtMillis int64
+	// Report numbers the reports of one incarnation in order; 0 if unknown.
+	Report uint64
 	// ColdUntil is when the target will be warm, on this process's monotonic clock; 0 if it reported no cold start.
 	ColdUntil model.Instant
 }
--- /dev/null
+++ b/internal/gateway/reports_test.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
+)
+
+// startLinkedVMs returns the leader and VMs without a link to it, with a slow link and with an ordinary one.
+func (f *fixture) startLinkedVMs(t *testing.T) []*gateway {
+	vms := []*gateway{
+		f.gateway, f.startFollowing("vm-2", cutLink), f.startFollowing("vm-3", delayedLink(t, 200*time.Millisecond)), f.startVM("vm-4"),
+	}
+	require.Eventually(t, func() bool { return vms[2].leaderIsRelaying() && vms[3].leaderIsRelaying() }, settleTime, 10*time.Millisecond)
+	return vms
+}
+
+// leaving returns a condition that is true once a VM knows that a target is leaving.
+func (g *gateway) leaving(id model.TargetID) func() bool {
+	return func() bool {
+		entry, found := g.state.lookup(g.clock.Now(), id)
+		return found && entry.Leaving
+	}
+}
+
+// Guards against requests to a target that is leaving: the store executed an earlier report late, and every VM took the
+// announced stop back.
+func TestLateReportDoesNotTakeStopBack(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t)
+	vms := f.startLinkedVMs(t)
+	late := f.targets["d-1"].Registration("desk", "a", 4, "ready", f.seq+1)
+	f.seq++
+	f.register("d-1", "desk", "a", "draining")
+	for _, vm := range vms {
+		require.Eventually(t, vm.leaving("d-1"), shareTime, 10*time.Millisecond, "%s", vm.settings.VM)
+	}
+	vms = append(vms, f.startVM("vm-5"))
+	f.store.Put("keyed.servers", "d-1", late)
+	// Another change shows that all VMs have read the late report.
+	f.register("d-2", "desk", "a", "draining")
+	for _, vm := range vms {
+		require.Eventually(t, vm.leaving("d-2"), shareTime, 10*time.Millisecond, "%s", vm.settings.VM)
+		assert.True(t, vm.leaving("d-1")(), "%s took the stop back", vm.settings.VM)
+	}
+	f.register("d-1", "desk", "a", "ready")
+	for _, vm := range vms {
+		require.Eventually(t, func() bool { return !vm.leaving("d-1")() }, shareTime, 10*time.Millisecond, "%s", vm.settings.VM)
+	}
+}
--- a/internal/gateway/topics.go
+++ b/internal/gateway/topics.go
@@ -180,8 +180,16 @@
 		return fullRecord(platform.Record{Key: record.Key, Offset: record.Offset})
 	}
 	target := registration.Target
-	changed := false
-	g.state.withRegistry(func(r *registry.Registry) { changed = r.Report(now, target, registration.ColdLeft) })
+	outdated, changed := false, false
+	g.state.withRegistry(func(r *registry.Registry) {
+		outdated = r.IsOutdated(now, target)
+		changed = r.Report(now, target, registration.ColdLeft)
+	})
+	if outdated {
+		log.Event("outdated report ignored", logging.TargetID(id), logging.ReportNumber(target.Report),
+			logging.State(targetState(registration)), logging.Offset(model.Offset(record.Offset)))
+		return nil
+	}
 	if changed {
 		log.Event("target state changed", logging.TargetID(id), logging.Service(target.Service), logging.Zone(target.Zone),
 			logging.Address(target.Address), logging.State(targetState(registration)))
--- a/internal/logging/fields.go
+++ b/internal/logging/fields.go
@@ -104,6 +104,9 @@
 // ConfigVersion is the version of the configuration that a decision was based on.
 func ConfigVersion(version uint64) Field { return Field{"config", version} }
 
+// ReportNumber is the number of a target's report within its incarnation.
+func ReportNumber(number uint64) Field { return Field{"report", number} }
+
 // TableOffset is the offset of the key assignment that a decision was based on.
 func TableOffset(offset uint64) Field { return Field{"table", offset} }
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -25,6 +25,10 @@
 	// zoneRestoreDelay is how long the targets of a zone that was restored to service get no requests, so that new reports
 	// can show which of them are cold. It covers one heartbeat and one poll of the registry.
 	zoneRestoreDelay = 2 * time.Second
+	// lateReportLimit is how long after a report an earlier one of the same incarnation may still arrive. The store may
+	// execute a write whose response was lost seconds later. After that time without a newer report the number of the last
+	// one is taken for an error of another writer.
+	lateReportLimit = 30 * time.Second
 )
 
 type entry struct {
@@ -37,6 +41,12 @@
 	failedAt model.Instant
 }
 
+// lastReport is the number of an incarnation's last report, and when it was read.
+type lastReport struct {
+	number uint64
+	at     model.Instant
+}
+
 // Registry holds the registered targets as known to one VM. All methods must be called under one lock.
 type Registry struct {
 	regions map[model.Zone]model.Region
@@ -53,6 +63,8 @@
 	// leaving holds when an incarnation first stated in a response that it is about to stop. It is kept apart from the
 	// entries, because neither an older record nor the removal of an entry revokes it.
 	leaving map[fleet.Incarnation]model.Instant
+	// lastReports holds the last report of each incarnation, also after its entry was removed.
+	lastReports map[fleet.Incarnation]lastReport
 	// paused holds until when an incarnation wants no requests from this VM.
 	paused map[fleet.Incarnation]model.Instant
 }
@@ -62,7 +74,8 @@
 	return &Registry{
 		regions: regions, entries: map[model.TargetID]*entry{},
 		evacuated: map[model.Zone]bool{}, restoredAt: map[model.Zone]model.Instant{},
-		leaving: map[fleet.Incarnation]model.Instant{}, paused: map[fleet.Incarnation]model.Instant{},
+		lastReports: map[fleet.Incarnation]lastReport{},
+		leaving:     map[fleet.Incarnation]model.Instant{}, paused: map[fleet.Incarnation]model.Instant{},
 	}
 }
 
@@ -79,9 +92,12 @@
 }
 
 // Report records a registration. coldLeft is the remaining duration of the target's cold start. Report returns true if
-// more changed than the time of the report and the end of the cold start. It ignores reports of an earlier incarnation
-// than the known one.
+// more changed than the time of the report and the end of the cold start. It ignores outdated reports.
 func (r *Registry) Report(now model.Instant, target fleet.Target, coldLeft time.Duration) bool {
+	if r.IsOutdated(now, target) {
+		return false
+	}
+	r.lastReports[target.Incarnation()] = lastReport{number: target.Report, at: now}
 	target.Region = r.regions[target.Zone]
 	if coldLeft > 0 {
 		target.ColdUntil = now.Add(coldLeft)
@@ -93,9 +109,6 @@
 		r.version++
 		return true
 	}
-	if target.StartedAtMillis < known.target.StartedAtMillis {
-		return false
-	}
 	changed := known.dropAt != 0 || known.failedAt != 0 || !sameTarget(known.target, target)
 	if known.target.Service != target.Service {
 		r.byService = nil
@@ -110,9 +123,20 @@
 	return changed
 }
 
+// IsOutdated reports whether a registration is from an earlier incarnation than the known one, or from an earlier report of
+// the same incarnation.
+func (r *Registry) IsOutdated(now model.Instant, target fleet.Target) bool {
+	if known := r.entries[target.ID]; known != nil && target.StartedAtMillis < known.target.StartedAtMillis {
+		return true
+	}
+	last, found := r.lastReports[target.Incarnation()]
+	return found && target.Report < last.number && now.Sub(last.at) < lateReportLimit
+}
+
 func sameTarget(a, b fleet.Target) bool {
 	cold := a.ColdUntil != 0 == (b.ColdUntil != 0)
 	a.ColdUntil, b.ColdUntil = 0, 0
+	a.Report, b.Report = 0, 0
 	return a == b && cold
 }
 
@@ -177,7 +201,7 @@
 func (r *Registry) MarkedLeaving() []fleet.Incarnation {
 	var marked []fleet.Incarnation
 	for incarnation := range r.leaving {
-		if e := r.entries[incarnation.ID]; e != nil && e.target.Incarnation() == incarnation && !e.target.Draining {
+		if r.isListed(incarnation) && !r.entries[incarnation.ID].target.Draining {
 			marked = append(marked, incarnation)
 		}
 	}
@@ -200,12 +224,20 @@
 		}
 	}
 	for incarnation, at := range r.leaving {
-		e := r.entries[incarnation.ID]
-		isListed := e != nil && e.target.Incarnation() == incarnation
-		if !isListed && now.Sub(at) >= leavingRetention {
+		if !r.isListed(incarnation) && now.Sub(at) >= leavingRetention {
 			delete(r.leaving, incarnation)
 		}
 	}
+	for incarnation, last := range r.lastReports {
+		if !r.isListed(incarnation) && now.Sub(last.at) >= lateReportLimit {
+			delete(r.lastReports, incarnation)
+		}
+	}
+}
+
+func (r *Registry) isListed(incarnation fleet.Incarnation) bool {
+	e := r.entries[incarnation.ID]
+	return e != nil && e.target.Incarnation() == incarnation
 }
 
 // SetEvacuated sets whether a zone is to get no requests. It returns true if that changed.
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -1,10 +1,12 @@
 package registry
 
 import (
+	"math"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/tarragonpoint/tarragonpoint/internal/fleet"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
@@ -145,3 +147,59 @@
 	r.Expire(at(3 * time.Second))
 	assert.Empty(t, r.paused)
 }
+
+// Guards against requests to a target that is leaving: the store may execute a write whose response was lost seconds later,
+// so an earlier report arrived after the one that announced the stop and took it back.
+func TestLateReportDoesNotReplaceNewerOne(t *testing.T) {
+	r := newRegistry()
+	report := func(after time.Duration, number uint64, draining bool) bool {
+		reported := target("x")
+		reported.Report, reported.Draining = number, draining
+		return r.Report(at(after), reported, 0)
+	}
+	report(0, 7, false)
+	assert.True(t, report(3*time.Second, 9, true))
+	assert.False(t, report(5*time.Second, 8, false))
+	entry, _ := r.Lookup(at(5*time.Second), "x")
+	assert.True(t, entry.Leaving, "the stop is not taken back")
+	assert.Equal(t, Unavailable, entry.State)
+
+	require.True(t, r.Remove(at(6*time.Second), "x"))
+	r.Expire(at(7 * time.Second))
+	assert.False(t, report(8*time.Second, 8, false))
+	assert.Equal(t, 0, r.Len(), "a removed target does not return")
+
+	assert.True(t, report(9*time.Second, 10, false), "an entry that expired returns with a later report")
+	restarted := target("x")
+	restarted.StartedAtMillis, restarted.Report = 8, 1
+	assert.True(t, r.Report(at(10*time.Second), restarted, 0))
+	entry, _ = r.Lookup(at(10*time.Second), "x")
+	assert.Equal(t, int64(8), entry.Target.StartedAtMillis, "a restarted target numbers its reports anew")
+	assert.False(t, report(11*time.Second, 11, true), "a report of the former incarnation")
+}
+
+// Guards against full load on a target that has become cold: an earlier report without a cold start arrived late.
+func TestLateReportDoesNotEndColdStart(t *testing.T) {
+	r := newRegistry()
+	reported := target("x")
+	reported.Report = 5
+	r.Report(at(0), reported, 3*time.Second)
+	reported.Report = 4
+	assert.False(t, r.Report(at(time.Second), reported, 0))
+	entry, _ := r.Lookup(at(time.Second), "x")
+	assert.Equal(t, Cold, entry.State)
+}
+
+// A number that another writer left must not exclude the reports of a target for good.
+func TestReportsCountAgainAfterWrongNumber(t *testing.T) {
+	r := newRegistry()
+	reported := target("x")
+	reported.Report = math.MaxUint64
+	r.Report(at(0), reported, 0)
+	reported.Report, reported.Slots = 3, 8
+	assert.False(t, r.Report(at(time.Second), reported, 0))
+	assert.True(t, r.Report(at(lateReportLimit), reported, 0))
+	r.Remove(at(lateReportLimit+time.Second), "x")
+	r.Expire(at(2*lateReportLimit + time.Second))
+	assert.Empty(t, r.lastReports, "numbers of removed targets are dropped")
+}
