Relay reports that prolong a cold start

Cause: the leader relays reports that change something. Of the cold start only its existence was compared, so a report of a target that became cold again while it was cold was not relayed, and VMs that rely on the leader kept the first end.

TestProlongedColdStartReachesAllVMs (five VMs, with a cut and a slow link) and TestProlongedColdStartIsAChange failed before.

Change: a report that prolongs the cold start by more than 200 ms over the last relayed end is a change.

--- a/internal/gateway/reports_test.go
+++ b/internal/gateway/reports_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"bytes"
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/registry"
 )
 
 // startLinkedVMs returns the leader and VMs without a link to it, with a slow link and with an ordinary one.
@@ -52,3 +55,38 @@
 		require.Eventually(t, func() bool { return !vm.leaving("d-1")() }, shareTime, 10*time.Millisecond, "%s", vm.settings.VM)
 	}
 }
+
+// registerCold writes a report of a target that stays cold for some time.
+func (f *fixture) registerCold(id, service, zone string, left time.Duration) {
+	f.seq++
+	report := f.targets[id].Registration(service, zone, 4, "ready", f.seq)
+	f.store.Put("keyed.servers", id, bytes.Replace(report, []byte(`"0ms"`), fmt.Appendf(nil, `"%dms"`, left.Milliseconds()), 1))
+}
+
+// Guards against full load on a target that becomes cold again while it is cold: only the VMs that read the store learned
+// that the cold start lasts longer.
+func TestProlongedColdStartReachesAllVMs(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t)
+	vms := append(f.startLinkedVMs(t), f.startVM("vm-5"))
+	stays := func(cold bool) func() bool {
+		return func() bool {
+			for _, vm := range vms {
+				entry, found := vm.state.lookup(vm.clock.Now(), "d-1")
+				if !found || (entry.State == registry.Cold) != cold {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	const first, second = 5 * time.Second, 12 * time.Second
+	f.registerCold("d-1", "desk", "a", first)
+	started := time.Now()
+	require.Eventually(t, stays(true), shareTime, 10*time.Millisecond)
+	f.registerCold("d-1", "desk", "a", second)
+	time.Sleep(time.Until(started.Add(first + shareTime)))
+	assert.True(t, stays(true)(), "some VMs know only the end of the first cold start")
+	f.register("d-1", "desk", "a", "ready")
+	require.Eventually(t, stays(false), shareTime, 10*time.Millisecond)
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -29,10 +29,15 @@
 	// execute a write whose response was lost seconds later. After that time without a newer report the number of the last
 	// one is taken for an error of another writer.
 	lateReportLimit = 30 * time.Second
+	// coldTolerance is by how much a report may prolong a cold start without counting as a change. It covers the varying
+	// time between the write of a report and its reading.
+	coldTolerance = 200 * time.Millisecond
 )
 
 type entry struct {
 	target fleet.Target
+	// sharedColdUntil is the end of the cold start in the last report that counted as a change, which other VMs know.
+	sharedColdUntil model.Instant
 	// readAt is when the last report of the target was read.
 	readAt model.Instant
 	// dropAt is when an expired entry is dropped; 0 if it has not expired.
@@ -92,7 +97,7 @@
 }
 
 // Report records a registration. coldLeft is the remaining duration of the target's cold start. Report returns true if
-// more changed than the time of the report and the end of the cold start. It ignores outdated reports.
+// more changed than the time of the report, or the target stays cold for longer. It ignores outdated reports.
 func (r *Registry) Report(now model.Instant, target fleet.Target, coldLeft time.Duration) bool {
 	if r.IsOutdated(now, target) {
 		return false
@@ -104,12 +109,13 @@
 	}
 	known := r.entries[target.ID]
 	if known == nil {
-		r.entries[target.ID] = &entry{target: target, readAt: now}
+		r.entries[target.ID] = &entry{target: target, sharedColdUntil: target.ColdUntil, readAt: now}
 		r.byService = nil
 		r.version++
 		return true
 	}
-	changed := known.dropAt != 0 || known.failedAt != 0 || !sameTarget(known.target, target)
+	changed := known.dropAt != 0 || known.failedAt != 0 || !sameTarget(known.target, target) ||
+		target.ColdUntil > known.sharedColdUntil.Add(coldTolerance)
 	if known.target.Service != target.Service {
 		r.byService = nil
 	}
@@ -118,6 +124,7 @@
 	known.dropAt = 0
 	known.failedAt = 0
 	if changed {
+		known.sharedColdUntil = target.ColdUntil
 		r.version++
 	}
 	return changed
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -203,3 +203,24 @@
 	r.Expire(at(2*lateReportLimit + time.Second))
 	assert.Empty(t, r.lastReports, "numbers of removed targets are dropped")
 }
+
+// Guards against full load on a target that becomes cold again while it is cold: its reports did not count as changes, so
+// VMs that rely on the leader took it for warm at the end of the first cold start.
+func TestProlongedColdStartIsAChange(t *testing.T) {
+	r := newRegistry()
+	assert.True(t, r.Report(at(0), target("x"), 3*time.Second))
+	assert.False(t, r.Report(at(time.Second), target("x"), 2*time.Second), "the same end")
+	assert.True(t, r.Report(at(2500*time.Millisecond), target("x"), 2800*time.Millisecond))
+	assert.False(t, r.Report(at(3500*time.Millisecond), target("x"), 1800*time.Millisecond))
+	left := 1800 * time.Millisecond
+	changes := 0
+	for after := 3500 * time.Millisecond; after < 6*time.Second; after += 100 * time.Millisecond {
+		if r.Report(at(after), target("x"), left) {
+			changes++
+		}
+	}
+	assert.GreaterOrEqual(t, changes, 7, "small prolongations add up to changes")
+	entry, _ := r.Lookup(at(7*time.Second), "x")
+	assert.Equal(t, Cold, entry.State)
+	assert.True(t, r.Report(at(8*time.Second), target("x"), 0))
+}
