Pass on with a resignation for how long former leaders can make grants

Cause: a leader waits until a former leader that did not resign can make no grants any more. The leader after a resigned one did not. If a leader takes over from one without access to the store and soon resigns, its successor grants keys that the first one still renews.

Evidence: reproduced first. In the simulation TestResignationKeepsBoundOfFormerLeader failed. The simulation elected a next leader before the former one had resigned, so no resignation was ever played; that is corrected.

Change: a resignation states that time, and the next leader adds it to its wait.

--- a/internal/keyspace/encode.go
+++ b/internal/keyspace/encode.go
@@ -1,11 +1,16 @@
 package keyspace
 
 import (
+	"time"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
 )
 
+// maxFormerGrants bounds what a record may state: it exceeds the longest time for which a leader can make grants.
+const maxFormerGrants = time.Minute
+
 // wireTable is the encoded form of a table. Services and holders are listed once and referenced by index to keep the
 // record small, because all VMs read each record over low-bandwidth links.
 type wireTable struct {
@@ -19,6 +24,14 @@
 	Ranges   []wireRange
 }
 
+// wireResignation is the encoded form of a table with FormerGrants, which are in milliseconds, rounded up. Other tables have
+// the shorter form, which earlier versions of this program can decode.
+type wireResignation struct {
+	_            struct{} `cbor:",toarray"`
+	Table        wireTable
+	FormerGrants int64
+}
+
 type wireRange struct {
 	_        struct{} `cbor:",toarray"`
 	Service  int
@@ -64,21 +77,41 @@
 		wire.Ranges = append(wire.Ranges, encoded)
 	}
 	wire.Services, wire.Holders = services.values, holders.values
-	raw, err := cbor.Marshal(wire)
+	var record any = wire
+	if t.FormerGrants > 0 {
+		record = wireResignation{Table: wire, FormerGrants: (t.FormerGrants + time.Millisecond - 1).Milliseconds()}
+	}
+	raw, err := cbor.Marshal(record)
 	if err != nil {
 		return nil, ErrTable.Wrap(err, "assignment cannot be encoded")
 	}
 	return raw, nil
 }
 
+// decodeWire decodes either form of a table.
+func decodeWire(raw []byte) (wireResignation, error) {
+	var resignation wireResignation
+	if cbor.Unmarshal(raw, &resignation) == nil {
+		return resignation, nil
+	}
+	var table wireTable
+	err := cbor.Unmarshal(raw, &table)
+	return wireResignation{Table: table}, err
+}
+
 // DecodeTable decodes a record that was read at an offset. It returns ErrTable if the record is malformed.
 func DecodeTable(raw []byte, offset uint64) (*Table, error) {
-	var wire wireTable
-	if err := cbor.Unmarshal(raw, &wire); err != nil {
+	record, err := decodeWire(raw)
+	if err != nil {
 		return nil, ErrTable.Wrap(err, "assignment at offset %d cannot be decoded", offset)
 	}
+	wire := record.Table
+	if record.FormerGrants < 0 || record.FormerGrants > maxFormerGrants.Milliseconds() {
+		return nil, ErrTable.New("assignment at offset %d has grants of former leaders for %d ms", offset, record.FormerGrants)
+	}
 	table := &Table{
 		Offset: offset, Leader: wire.Leader, LeaderAddress: wire.Address, Nonce: wire.Nonce, Resigned: wire.Resigned,
+		FormerGrants: time.Duration(record.FormerGrants) * time.Millisecond,
 	}
 	for i := range wire.Ranges {
 		r, ok := wire.decodeRange(&wire.Ranges[i])
--- a/internal/keyspace/fuzz_test.go
+++ b/internal/keyspace/fuzz_test.go
@@ -191,3 +191,40 @@
 		assert.NotEqual(t, GrantKeys, command.Kind, "%+v", command)
 	}
 }
+
+// awaitLeader runs the simulation until a VM is the leader.
+func (sim *simulation) awaitLeader(t *testing.T, vm int) {
+	for range 100 {
+		if sim.vms[vm].manager.IsLeader(sim.now) {
+			return
+		}
+		sim.run(20 * time.Millisecond)
+	}
+	require.Fail(t, "no leader", "VM %d is not the leader: %s", vm, sim.describe())
+}
+
+// Guards against two holders of a key: a leader that resigns soon after it replaced a leader without access to the store
+// must pass on for how long the latter can still renew grants. Seen when VMs restarted one after the other while a region
+// was cut off.
+func TestResignationKeepsBoundOfFormerLeader(t *testing.T) {
+	for _, resignations := range []int{1, 2} {
+		sim := newSimulation(4, resignations+2, 4)
+		sim.run(2 * time.Second)
+		require.True(t, sim.vms[0].manager.IsLeader(sim.now))
+		const unreachable = 1
+		for vm := 1; vm < len(sim.vms); vm++ {
+			sim.pathCut[[2]int{vm, unreachable}] = true
+		}
+		sim.storeCut[0] = true
+		for vm := 1; vm <= resignations; vm++ {
+			sim.awaitLeader(t, vm)
+			sim.resign(vm)
+		}
+		sim.awaitLeader(t, resignations+1)
+		sim.targets[unreachable].registered = false
+		sim.run(sim.settings.contactBound() + 2*sim.settings.holdBound())
+		require.Empty(t, sim.violation)
+		sim.run(2 * sim.settings.holdBound())
+		assert.Zero(t, sim.unheld())
+	}
+}
--- a/internal/keyspace/manager.go
+++ b/internal/keyspace/manager.go
@@ -74,7 +74,9 @@
 	// terminated maps the incarnations that are known to have terminated to the time at which this VM detected it.
 	terminated    map[fleet.Incarnation]model.Instant
 	lastRebalance model.Instant
-	resigning     bool
+	// formerGrantsUntil is the time until which leaders before this process may make grants.
+	formerGrantsUntil model.Instant
+	resigning         bool
 	// changed is true if ranges have been marked ready in memory since the table was written.
 	changed bool
 	// grantsInFlight counts the grants to each incarnation whose outcome has not been reported yet.
@@ -144,8 +146,8 @@
 	m.adopt(at, table)
 }
 
-// adopt replaces the table. When leadership passes to this process, it extends the hold of every holder, because the
-// former leader may have granted them their keys until its leadership timed out.
+// adopt replaces the table. When leadership passes to this process, it extends the hold of every holder, because former
+// leaders may have granted them their keys until they resigned or their leadership timed out.
 func (m *Manager) adopt(at model.Instant, table *Table) {
 	former := m.table
 	m.table = table
@@ -158,10 +160,11 @@
 	if table.Leader != m.self || former.Leader == m.self {
 		return
 	}
-	bound := at.Add(m.settings.holdBound())
+	m.formerGrantsUntil = at.Add(former.FormerGrants)
 	if !former.Resigned {
-		bound = bound.Add(m.settings.contactBound())
+		m.formerGrantsUntil = at.Add(m.settings.contactBound())
 	}
+	bound := m.formerGrantsUntil.Add(m.settings.holdBound())
 	for i := range table.Ranges {
 		r := &table.Ranges[i]
 		m.extendHold(r.Owner.Incarnation, bound)
--- a/internal/keyspace/plan.go
+++ b/internal/keyspace/plan.go
@@ -32,7 +32,7 @@
 		return nil
 	}
 	if m.resigning {
-		return m.planResignation()
+		return m.planResignation(now)
 	}
 	return m.planAssignment(now)
 }
@@ -63,7 +63,7 @@
 	draft := m.table.Clone()
 	draft.Leader = m.self
 	draft.LeaderAddress = m.address
-	draft.Resigned = false
+	draft.Resigned, draft.FormerGrants = false, 0
 	draft.Nonce = m.random()
 	draft.Offset = m.nextOffset
 	return draft
@@ -82,12 +82,15 @@
 	return draft
 }
 
-func (m *Manager) planResignation() *Table {
+// planResignation returns the table with which this process gives up leadership. It states for how long leaders before this
+// one may make grants, because the next leader trusts that a resigned leader makes none.
+func (m *Manager) planResignation(now model.Instant) *Table {
 	if len(m.grantsInFlight) > 0 {
 		return nil
 	}
 	draft := m.draft()
 	draft.Resigned = true
+	draft.FormerGrants = max(0, m.formerGrantsUntil.Sub(now))
 	return draft
 }
 
--- a/internal/keyspace/simulation_test.go
+++ b/internal/keyspace/simulation_test.go
@@ -178,10 +178,12 @@
 
 func (sim *simulation) reachesStore(i int) bool { return !sim.storeDown && !sim.storeCut[i] }
 
-// elected returns the index of the VM that the store elects: the first that can reach it, or -1.
+// elected returns the index of the VM that the store elects: the first that can reach it, or -1. A leader that is
+// stopping stays elected until it has resigned.
 func (sim *simulation) elected() int {
 	for i, vm := range sim.vms {
-		if vm.up && !vm.paused && !vm.leaving && sim.reachesStore(i) {
+		stopped := vm.leaving && vm.manager.Resigned()
+		if vm.up && !vm.paused && !stopped && sim.reachesStore(i) {
 			return i
 		}
 	}
--- a/internal/keyspace/table.go
+++ b/internal/keyspace/table.go
@@ -8,6 +8,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"github.com/joomcode/errorx"
 
@@ -57,7 +58,10 @@
 	Nonce uint64
 	// Resigned is true if the leader has given up leadership and makes no more grants.
 	Resigned bool
-	Ranges   []Range
+	// FormerGrants is for how long after a resignation the leaders before the resigned one may still make grants; 0 if none
+	// can. It is not set in other tables.
+	FormerGrants time.Duration
+	Ranges       []Range
 }
 
 func (t *Table) sort() {
--- a/internal/keyspace/table_test.go
+++ b/internal/keyspace/table_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -45,6 +47,31 @@
 	assert.Equal(t, table, decoded)
 }
 
+// Guards against a resignation that loses for how long former leaders may make grants, and against one that states an absurd
+// time. Tables without it have the form that earlier versions decode.
+func TestResignationRoundTrip(t *testing.T) {
+	table := randomTable(rand.New(rand.NewPCG(3, 3)), 7)
+	table.Resigned = true
+	plain, err := table.Encode()
+	require.NoError(t, err)
+	require.NoError(t, cbor.Unmarshal(plain, &wireTable{}))
+	table.FormerGrants = 1234567 * time.Microsecond
+	raw, err := table.Encode()
+	require.NoError(t, err)
+	decoded, err := DecodeTable(raw, 7)
+	require.NoError(t, err)
+	assert.Equal(t, 1235*time.Millisecond, decoded.FormerGrants, "rounded up")
+	decoded.FormerGrants = table.FormerGrants
+	assert.Equal(t, table, decoded)
+	table.FormerGrants = 2 * maxFormerGrants
+	raw, err = table.Encode()
+	require.NoError(t, err)
+	_, err = DecodeTable(raw, 7)
+	assert.Error(t, err)
+	_, err = DecodeTable(raw[:len(raw)-1], 7)
+	assert.Error(t, err)
+}
+
 // Verifies that applying a delta yields exactly the table in the store, whatever changed.
 func TestDeltaYieldsTable(t *testing.T) {
 	random := rand.New(rand.NewPCG(2, 2))
@@ -56,6 +83,7 @@
 		}
 		next.Offset, next.Nonce = offset, random.Uint64()
 		next.Ranges[random.IntN(len(next.Ranges))].Fence++
+		next.FormerGrants = time.Duration(offset%3) * time.Second
 		raw, err := EncodeDelta(base, next)
 		require.NoError(t, err)
 		applied, err := ApplyDelta(base, raw, offset)
