Make no grants while a resignation is being written

What callers could see: two holders of a key around a planned stop of the leader while the store loses responses.

Cause: a resigning leader renews nothing, but went on to grant ranges that were moving. If its resignation had taken effect and the response was lost, it did so for up to 9 s, while the next leader waits only for grants that ended before it.

Evidence: TestNoGrantWhileResignationIsWritten failed before (4 grants).

Change: no grant is sent while a resignation is pending.

Result: the tests of keyspace pass.

--- a/internal/keyspace/fuzz_test.go
+++ b/internal/keyspace/fuzz_test.go
@@ -228,3 +228,46 @@
 		assert.Zero(t, sim.unheld())
 	}
 }
+
+// Guards against two holders of a key: a leader whose resignation may have taken effect, although no response has arrived,
+// must not grant keys any more, because the next leader does not wait for such grants.
+func TestNoGrantWhileResignationIsWritten(t *testing.T) {
+	sim := newSimulation(7, 1, 3)
+	sim.run(2 * time.Second)
+	require.Zero(t, sim.unheld())
+	m := sim.vms[0].manager
+	view := sim.view()
+	view.Candidates = view.Candidates[:2]
+	m.SetView(view)
+	now := sim.now
+	for m.pending == nil {
+		now = now.Add(20 * time.Millisecond)
+		m.Step(now)
+	}
+	moved := m.pending.Clone()
+	m.Appended(now, moved)
+	m.grantsInFlight = map[fleet.Incarnation]int{}
+	m.Resign()
+	now = now.Add(sim.settings.RetryEvery)
+	m.Step(now)
+	require.NotNil(t, m.pending)
+	require.True(t, m.pending.Resigned)
+	m.AppendFailed(now, true)
+	for _, holder := range view.Candidates {
+		m.holdUntil[holder.Incarnation] = now
+	}
+	for _, r := range moved.Ranges {
+		for _, previous := range r.Previous {
+			m.holdUntil[previous.Incarnation] = now
+		}
+	}
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		for _, command := range m.Step(now) {
+			assert.NotEqual(t, GrantKeys, command.Kind, "%+v", command)
+			if command.Kind == AppendTable {
+				m.AppendFailed(now, true)
+			}
+		}
+	}
+}
--- a/internal/keyspace/manager.go
+++ b/internal/keyspace/manager.go
@@ -323,13 +323,17 @@
 }
 
 // stepGrant returns the next grant of a range to its owner, if one is due. A resigning leader renews no grants, because
-// it can resign only while none is in flight.
+// it can resign only while none is in flight. It makes none at all while its resignation is being written, which may have
+// taken effect already.
 func (m *Manager) stepGrant(now model.Instant, r *Range, state *commandState) (Command, bool) {
 	if state.inFlight || state.fencedAt != 0 || m.isTerminated(r.Owner.Incarnation) || now < state.nextGrantAt ||
 		m.isUnresponsive(r.Owner.Incarnation) {
 		return Command{}, false
 	}
-	if m.resigning && r.Ready || !m.keyed[r.Service] || m.isBeingDropped(r) {
+	if m.resigning && (r.Ready || m.pending != nil && m.pending.Resigned) {
+		return Command{}, false
+	}
+	if !m.keyed[r.Service] || m.isBeingDropped(r) {
 		return Command{}, false
 	}
 	if state.connectionID == 0 && now.Sub(m.confirmedAt) >= m.settings.MaxTableAge {
