Share the memory for response bodies in the entry role too

Cause: in the role entry each response was bounded (8 MiB, head and body together), but not all of them together: 7 connections to each target. The role gateway already bounds heads and the sum of incomplete bodies.

Change: the mechanism moves from upstream into the package bounds and the entry role's client uses it. The tests of upstream are the same but for names.

--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -116,7 +117,7 @@
 	v.args = []string{
 		"gateway", "-vm-id", v.name, "-zone", v.zone, "-region", "r-" + v.zone, "-zones", "a=r-a,b=r-b",
 		"-listen-callers", listen[0], "-listen-ready", listen[1], "-listen-peers", listen[2], "-listen-metrics", listen[3],
-		"-store-address", relay.Address, "-retry-burst", "1000", "-grace", grace.String(),
+		"-store-address", relay.Address, "-retry-burst", "1000", "-grace", grace.String(), "-memory-mb", strconv.Itoa(smallMemoryMB),
 	}
 	d.startVM(v)
 	d.t.Cleanup(func() { v.currentProcess().Kill() })
--- a/internal/soak/misbehavior_test.go
+++ b/internal/soak/misbehavior_test.go
@@ -138,9 +138,32 @@
 		}
 	}
 	c.last = nil
+	if text := c.server.endlessText(); text != nil {
+		return 0, c.writeEndlessly(response, text)
+	}
 	isRejection := bytes.HasPrefix(response, []byte("HTTP/1.1 503")) || bytes.HasPrefix(response, []byte("HTTP/1.1 421"))
 	if isRejection || bytes.Contains(response, []byte("X-Tarragonpoint-Handover")) {
 		c.last = bytes.Clone(response)
 	}
 	return c.Conn.Write(response)
 }
+
+// endlessText returns what the server repeats without end in place of each response; nil if it responds.
+func (s *server) endlessText() []byte {
+	s.oracle.mu.Lock()
+	defer s.oracle.mu.Unlock()
+	return s.endless
+}
+
+// writeEndlessly writes the head of a response, and then a text until the connection is closed.
+func (c *repeatingConn) writeEndlessly(response, text []byte) error {
+	head, _, _ := bytes.Cut(response, []byte("\r\nContent-Length"))
+	if _, err := c.Conn.Write(append(bytes.Clone(head), "\r\n"...)); err != nil {
+		return err
+	}
+	for {
+		if _, err := c.Conn.Write(text); err != nil {
+			return err
+		}
+	}
+}
--- a/internal/soak/server_test.go
+++ b/internal/soak/server_test.go
@@ -51,6 +51,8 @@
 	// repeats makes rejections and responses to releases arrive twice, pauses makes rejections ask for a pause, and omitsIDs
 	// leaves the attempt ID out of them.
 	repeats, pauses, omitsIDs bool
+	// endless is the text that the server sends without end in place of each response; nil if it responds.
+	endless []byte
 	// disturbedUntil is the time until which grants and requests may be delayed by a disturbance of the connections to this server.
 	disturbedUntil time.Time
 }
--- a/internal/target/exchange.go
+++ b/internal/target/exchange.go
@@ -8,10 +8,9 @@
 	"net"
 	"net/http"
 	"time"
-)
 
-// maxHeaderBytes limits the header of a response, together with preceding informational (1xx) responses.
-const maxHeaderBytes = 64 << 10
+	"github.com/tarragonpoint/tarragonpoint/internal/bounds"
+)
 
 var (
 	errTooLarge      = errors.New("response exceeds the size limit")
@@ -29,16 +28,15 @@
 // exchange writes one encoded request and reads one complete response. It writes the request at most once, on this
 // connection only. It does not use http.Transport, which automatically resends some requests on another connection.
 func exchange(
-	ctx context.Context, conn *connection, request *http.Request, encoded []byte, maxBody int64,
+	ctx context.Context, conn *connection, request *http.Request, encoded []byte, maxBody int64, bodies *bounds.BodyMemory,
 ) (rawResponse, error) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	conn.readBudget = maxHeaderBytes + maxBody + 1
 	written, err := conn.Write(encoded)
 	if err != nil {
 		return rawResponse{}, writeError(err, written)
 	}
-	received, err := readResponse(conn, request, maxBody)
+	received, err := readResponse(conn, request, maxBody, bodies)
 	if err != nil {
 		return rawResponse{}, readError(ctx, err)
 	}
@@ -47,28 +45,32 @@
 	return received, nil
 }
 
-func readResponse(conn *connection, request *http.Request, maxBody int64) (rawResponse, error) {
+func readResponse(conn *connection, request *http.Request, maxBody int64, bodies *bounds.BodyMemory) (rawResponse, error) {
 	response, err := readFinalHeader(conn, request)
 	if err != nil {
 		return rawResponse{}, err
 	}
-	defer func() { _ = response.Body.Close() }()
 	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 		return rawResponse{}, errUnknownLength
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBody+1))
+	// The body is not closed on an error, as that would read its rest.
+	body, reserved, err := bodies.ReadAll(io.LimitReader(response.Body, maxBody+1))
 	if err != nil {
 		return rawResponse{}, err
 	}
+	defer reserved.Release()
 	if int64(len(body)) > maxBody {
 		return rawResponse{}, errTooLarge
 	}
+	_ = response.Body.Close()
 	return rawResponse{status: response.StatusCode, header: response.Header, body: body, reusable: !response.Close}, nil
 }
 
 // readFinalHeader reads the header of the final response and skips informational (1xx) responses. It rejects a response
 // that switches protocols.
 func readFinalHeader(conn *connection, request *http.Request) (*http.Response, error) {
+	conn.received.BeginHead()
+	defer conn.received.EndHead()
 	for {
 		response, err := http.ReadResponse(conn.reader, request)
 		if err != nil {
--- a/internal/target/http.go
+++ b/internal/target/http.go
@@ -10,6 +10,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/tarragonpoint/tarragonpoint/internal/bounds"
 	"github.com/tarragonpoint/tarragonpoint/internal/callerconn"
 	"github.com/tarragonpoint/tarragonpoint/internal/kernel"
 )
@@ -38,6 +39,9 @@
 type HTTPClient struct {
 	// MaxBody limits the body of a response, in bytes; 0 means 8 MiB.
 	MaxBody int64
+	// BodyMemory is the number of bytes that the bodies of responses may hold together while they are read; 0 means 32 MiB.
+	// The first 64 KiB of each body do not count.
+	BodyMemory int64
 	// DialTimeout limits the time to establish a connection; 0 means 1 s.
 	DialTimeout time.Duration
 	// IdleTimeout is the time for which an idle connection is kept; 0 means 30 s.
@@ -45,8 +49,10 @@
 	// Dial opens connections; nil means TCP. Tests can replace it to run without sockets.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
-	mutex         sync.Mutex
+	mutex sync.Mutex
+	// pools and bodies are created with the first request.
 	pools         map[poolKey]*pool
+	bodies        *bounds.BodyMemory
 	lastSweep     time.Time
 	stopped       bool
 	cancellations sync.WaitGroup
@@ -138,7 +144,7 @@
 	if err != nil {
 		return rawResponse{}, err
 	}
-	received, err := exchange(ctx, conn, request, encoded, orDefault(c.MaxBody, defaultMaxBody))
+	received, err := exchange(ctx, conn, request, encoded, orDefault(c.MaxBody, defaultMaxBody), c.bodies)
 	if err != nil {
 		connections.put(conn, false)
 		return rawResponse{}, err
@@ -223,6 +229,7 @@
 	}
 	if c.pools == nil {
 		c.pools = map[poolKey]*pool{}
+		c.bodies = bounds.NewBodyMemory(c.BodyMemory)
 	}
 	c.sweep()
 	key := poolKey{address: address, purpose: purpose}
--- a/internal/target/http_test.go
+++ b/internal/target/http_test.go
@@ -14,8 +14,10 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/tarragonpoint/tarragonpoint/internal/bounds"
 	"github.com/tarragonpoint/tarragonpoint/internal/callerconn"
 )
 
@@ -142,7 +144,7 @@
 		header + "\r\nno length",
 		header + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
 		header + "Content-Length: 200\r\n\r\n" + strings.Repeat("x", 200),
-		header + "X: " + strings.Repeat("x", 2*maxHeaderBytes) + "\r\n\r\n",
+		header + "X: " + strings.Repeat("x", 2*bounds.MaxHeadBytes) + "\r\n\r\n",
 	} {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
@@ -317,3 +319,96 @@
 	close(release)
 	requests.Wait()
 }
+
+// serveEndless accepts connections, and after a request sends start and then more until the connection is closed. Each
+// closed connection's number of bytes is sent to the channel.
+func serveEndless(t *testing.T, start, more string) (Address, <-chan int) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	closed := make(chan int, 64)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = http.ReadRequest(bufio.NewReader(conn))
+				_, _ = conn.Write([]byte(start))
+				sent, block := 0, []byte(strings.Repeat(more, 4096))
+				for {
+					n, err := conn.Write(block)
+					sent += n
+					if err != nil {
+						closed <- sent
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return Address(listener.Addr().String()), closed
+}
+
+// Guards against targets that send bytes without end, in a header or a body: the entry VM kept up to 8 MiB of each response,
+// 7 of each target at the same time, and so filled its memory.
+func TestEndlessResponsesShareBoundedMemory(t *testing.T) {
+	header := "HTTP/1.1 200 OK\r\n" + HeaderAttempt + ": a\r\n"
+	const memory = 256 << 10
+	for name, texts := range map[string][2]string{
+		"status line":   {"", "x"},
+		"header line":   {header + "X: ", "x"},
+		"header":        {header, "Name: value\r\n"},
+		"informational": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		"body":          {header + "Content-Length: 1000000000000\r\n\r\n", "x"},
+		"chunks":        {header + "Transfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("x", 1024) + "\r\n"},
+	} {
+		address, closed := serveEndless(t, texts[0], texts[1])
+		client := &HTTPClient{MaxBody: 64 << 20, BodyMemory: memory}
+		var requests sync.WaitGroup
+		for range connectionLimits[purposeRequest] {
+			requests.Add(1)
+			go func() {
+				defer requests.Done()
+				_, err := client.Do(context.Background(), address, Request{Attempt: "a", Method: http.MethodGet, Path: "/x", Timeout: 20 * time.Second})
+				assert.True(t, errorx.IsOfType(err, ErrBroken), "%s: %v", name, err)
+			}()
+		}
+		requests.Wait()
+		for range connectionLimits[purposeRequest] {
+			select {
+			case sent := <-closed:
+				// Most of them are in the buffers of the sockets, which the kernel bounds.
+				assert.Less(t, sent, 32<<20, name)
+			case <-time.After(10 * time.Second):
+				t.Fatal(name, ": a connection stays open")
+			}
+		}
+	}
+}
+
+// Verifies that ordinary responses arrive while endless ones hold the memory for bodies, and that it is returned.
+func TestOrdinaryResponsesArriveBesideEndlessOnes(t *testing.T) {
+	const memory = 256 << 10
+	client := &HTTPClient{BodyMemory: memory}
+	holding := make(chan struct{})
+	raw := startRawTarget(t, func(number int64, request *http.Request) []byte {
+		if number == 1 {
+			return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\n%s: a\r\nContent-Length: 1000000\r\n\r\n%s", HeaderAttempt, strings.Repeat("x", memory+64<<10))
+		}
+		return echo(request, strings.Repeat("y", 32<<10))
+	})
+	go func() {
+		defer close(holding)
+		_, err := client.Do(context.Background(), raw.address, Request{Attempt: "a", Method: http.MethodGet, Path: "/x", Timeout: 2 * time.Second})
+		assert.Error(t, err)
+	}()
+	require.Eventually(t, func() bool { return raw.requests.Load() == 1 }, 5*time.Second, time.Millisecond)
+	for range 20 {
+		response, err := do(client, raw.address, http.MethodGet, "a")
+		require.NoError(t, err)
+		require.Len(t, response.Body, 32<<10)
+	}
+	<-holding
+}
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -3,10 +3,11 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
 	"sync"
 	"time"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/bounds"
 )
 
 // connPurpose is what a connection to a target is used for. Each purpose has its own connections, so that requests to a
@@ -29,20 +30,15 @@
 // connection is one connection to a target, used by one exchange at a time.
 type connection struct {
 	net.Conn
-	reader *bufio.Reader
-	// readBudget is the number of bytes that the current exchange may still read.
-	readBudget int64
-	idleSince  time.Time
+	// received bounds the headers that reader reads from Conn.
+	received  *bounds.HeadReader
+	reader    *bufio.Reader
+	idleSince time.Time
 }
 
-// Read limits the number of bytes that one exchange reads, header included, to the read budget.
-func (c *connection) Read(p []byte) (int, error) {
-	if c.readBudget <= 0 {
-		return 0, io.ErrUnexpectedEOF
-	}
-	n, err := c.Conn.Read(p[:min(int64(len(p)), c.readBudget)])
-	c.readBudget -= int64(n)
-	return n, err
+func newConnection(dialed net.Conn) *connection {
+	received := bounds.NewHeadReader(dialed)
+	return &connection{Conn: dialed, received: received, reader: bufio.NewReader(received)}
 }
 
 // dialFunc opens a connection.
@@ -81,9 +77,7 @@
 		<-p.permits
 		return nil, err
 	}
-	opened := &connection{Conn: dialed}
-	opened.reader = bufio.NewReader(opened)
-	return opened, nil
+	return newConnection(dialed), nil
 }
 
 // takeIdle removes and returns the most recently used idle connection, or nil. It closes connections that exceeded
--- a/internal/target/pool_test.go
+++ b/internal/target/pool_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/joomcode/errorx"
 	"github.com/stretchr/testify/require"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/bounds"
 )
 
 // Guards against a non-idempotent request that fails with ErrBroken because it was sent on an idle connection that the
@@ -35,7 +37,7 @@
 	require.NoError(t, conn.Close())
 	request, err := newHTTPRequest(context.Background(), http.MethodPost, "http://"+string(raw.address), nil)
 	require.NoError(t, err)
-	_, err = exchange(context.Background(), conn, request, []byte("POST / HTTP/1.1\r\n\r\n"), 1)
+	_, err = exchange(context.Background(), conn, request, []byte("POST / HTTP/1.1\r\n\r\n"), 1, bounds.NewBodyMemory(0))
 	require.True(t, errorx.IsOfType(err, ErrNotSent), "%v", err)
 
 	client := &HTTPClient{}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -20,6 +20,8 @@
 
 	"github.com/joomcode/errorx"
 	"golang.org/x/sys/unix"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/bounds"
 )
 
 var (
@@ -109,7 +111,7 @@
 	Header http.Header
 	Body   []byte
 	// body is the part of the memory for bodies that Body holds.
-	body *reservation
+	body *bounds.Reservation
 	// ConnectionID identifies the connection, or the one opened by ReplaceClosed in its place, for later requests. It is 0
 	// if neither is open.
 	ConnectionID uint64
@@ -119,7 +121,7 @@
 // times and on nil.
 func (r *Response) Release() {
 	if r != nil {
-		r.body.release()
+		r.body.Release()
 	}
 }
 
@@ -129,18 +131,18 @@
 	socket net.Conn
 	raw    syscall.RawConn
 	// received bounds the heads that reader reads from socket.
-	received *boundedReader
+	received *bounds.HeadReader
 	reader   *bufio.Reader
 	writer   *bufio.Writer
 	// bodies is the memory for the bodies of all connections of the pool.
-	bodies  *bodyMemory
+	bodies  *bounds.BodyMemory
 	expires time.Time
 	// responses is the number of responses received.
 	responses int
 }
 
-func newConn(socket net.Conn, bodies *bodyMemory) *conn {
-	received := &boundedReader{source: socket}
+func newConn(socket net.Conn, bodies *bounds.BodyMemory) *conn {
+	received := bounds.NewHeadReader(socket)
 	c := &conn{
 		socket: socket, received: received, reader: bufio.NewReaderSize(received, readBufferSize),
 		writer: bufio.NewWriterSize(socket, writeBufferSize), bodies: bodies,
@@ -265,8 +267,8 @@
 		return nil, false, err
 	}
 	// The body is not closed on an error, as that would read its rest.
-	body, reserved, err := c.bodies.readAll(received.Body)
-	if errors.Is(err, errTooLong) {
+	body, reserved, err := c.bodies.ReadAll(received.Body)
+	if errors.Is(err, bounds.ErrTooLong) {
 		return nil, false, ErrMalformed.Wrap(err, "there is no memory for the rest of the response body")
 	}
 	if err != nil {
@@ -281,11 +283,11 @@
 
 // readResponseHead returns the next response without its body. It skips informational (1xx) responses except 101.
 func (c *conn) readResponseHead(method string) (*http.Response, error) {
-	c.received.left = maxHeadBytes
-	defer func() { c.received.left = unbounded }()
+	c.received.BeginHead()
+	defer c.received.EndHead()
 	for {
 		_, err := c.reader.Peek(1)
-		if errors.Is(err, errTooLong) {
+		if errors.Is(err, bounds.ErrTooLong) {
 			return nil, responseHeadError(err)
 		}
 		if err != nil {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/tarragonpoint/tarragonpoint/internal/bounds"
 	"github.com/tarragonpoint/tarragonpoint/internal/callerconn"
 )
 
@@ -33,7 +34,7 @@
 // Pool keeps idle connections to targets, by address. It is safe for concurrent use and has one lock.
 type Pool struct {
 	dialer *net.Dialer
-	bodies *bodyMemory
+	bodies *bounds.BodyMemory
 
 	mu        sync.Mutex
 	idle      map[string][]*conn
@@ -52,13 +53,10 @@
 
 // NewPool returns an empty pool.
 func NewPool(options Options) *Pool {
-	if options.BodyMemory == 0 {
-		options.BodyMemory = defaultBodyMemory
-	}
 	if options.Dialer == nil {
 		options.Dialer = defaultDialer()
 	}
-	return &Pool{dialer: options.Dialer, bodies: newBodyMemory(options.BodyMemory), idle: map[string][]*conn{}}
+	return &Pool{dialer: options.Dialer, bodies: bounds.NewBodyMemory(options.BodyMemory), idle: map[string][]*conn{}}
 }
 
 func defaultDialer() *net.Dialer {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -15,6 +15,8 @@
 	"github.com/joomcode/errorx"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/bounds"
 )
 
 // serveRaw listens on a loopback port, calls handle for each connection with its number, counted from 1, and returns
@@ -403,7 +405,7 @@
 		_, _ = socket.Write([]byte(long))
 		<-holding
 	})
-	body := strings.Repeat("b", freeBodyBytes)
+	body := strings.Repeat("b", bounds.FreeBodyBytes)
 	ordinary := serveRaw(t, respondWith(fmt.Sprintf("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: %d\r\n\r\n%s", len(body), body)))
 	over := serveRaw(t, respondWith(fmt.Sprintf("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: %d\r\n\r\n%s", memory, strings.Repeat("b", memory))))
 	pool := NewPool(Options{BodyMemory: memory})
@@ -412,7 +414,7 @@
 		_, err := pool.Do(context.Background(), holder, get("1"))
 		ended <- err
 	}()
-	require.Eventually(t, func() bool { return pool.bodies.free.Load() == freeBodyBytes }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return pool.bodies.Free() == bounds.FreeBodyBytes }, 10*time.Second, time.Millisecond)
 	_, err := do(t, pool, over, get("1"))
 	assert.True(t, errorx.IsOfType(err, ErrMalformed), "%v", err)
 	assert.ErrorContains(t, err, "of 262144 bytes of the memory for bodies are free")
@@ -420,13 +422,13 @@
 	assert.NoError(t, err)
 	close(holding)
 	assert.True(t, errorx.IsOfType(<-ended, ErrNoResponse))
-	assert.EqualValues(t, memory, pool.bodies.free.Load())
+	assert.EqualValues(t, memory, pool.bodies.Free())
 }
 
 // Bodies of responses count towards the memory until they are released, so that callers that read slowly do not make a VM
 // hold more than its share.
 func TestBodyMemoryIsHeldUntilRelease(t *testing.T) {
-	const length = freeBodyBytes + 1000
+	const length = bounds.FreeBodyBytes + 1000
 	text := "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: " + fmt.Sprint(length) + "\r\n\r\n" + strings.Repeat("x", length)
 	address := serveRaw(t, respondWith(text, text))
 	pool := NewPool(Options{BodyMemory: 1500})
@@ -436,7 +438,7 @@
 	require.True(t, errorx.IsOfType(err, ErrMalformed), "%v", err)
 	held.Release()
 	held.Release()
-	assert.EqualValues(t, 1500, pool.bodies.free.Load())
+	assert.EqualValues(t, 1500, pool.bodies.Free())
 	next, err := do(t, pool, address, get("1"))
 	require.NoError(t, err)
 	next.Release()
