Forget strikes that a listing does not have any more

Cause: a VM that lists the topic instead of reading it does not see the records that remove strikes, and the listing did not forget those that it lacks. That this is the cause of the two failures is read from the code; they were not traced.

Evidence: TestListingForgetsRemovedStrikes failed before.

Change: a listing forgets all strikes that it does not have, as that of targets does.

--- a/internal/gateway/strikes.go
+++ b/internal/gateway/strikes.go
@@ -134,6 +134,17 @@
 	delete(s.stored, key)
 }
 
+// keepOnly forgets the strikes that the store does not have any more. listed holds the keys of all its records.
+func (s *sharedStrikes) keepOnly(listed map[string]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key := range s.stored {
+		if !listed[key] {
+			delete(s.stored, key)
+		}
+	}
+}
+
 // unstored returns the strikes that the store should have, at most maxReportedStrikes.
 func (s *sharedStrikes) unstored(now model.Instant) []hub.Strike {
 	var list []hub.Strike
@@ -317,14 +328,7 @@
 		pollWait: func() time.Duration { return strikePollWait }, leaderPollWait: strikePollWait,
 		relistAge: topicRelistAge, freshness: strikeFreshness,
 		readInterval: func() time.Duration { return strikeReadInterval },
-		applyList: func(now model.Instant, page platform.Page) []relayedRecord {
-			var relayed []relayedRecord
-			for _, record := range page.Records {
-				g.applyStrikeRecord(now, record)
-				relayed = append(relayed, *fullRecord(record))
-			}
-			return relayed
-		},
+		applyList:    g.listStrikes,
 		applyRecord: func(now model.Instant, record platform.Record) *relayedRecord {
 			g.applyStrikeRecord(now, record)
 			return fullRecord(record)
@@ -332,6 +336,19 @@
 	}
 }
 
+// listStrikes applies the list of strikes. A VM that lists does not read the records that removed earlier ones.
+func (g *gateway) listStrikes(now model.Instant, page platform.Page) []relayedRecord {
+	listed := map[string]bool{}
+	var relayed []relayedRecord
+	for _, record := range page.Records {
+		g.applyStrikeRecord(now, record)
+		relayed = append(relayed, *fullRecord(record))
+		listed[record.Key] = true
+	}
+	g.strikes.keepOnly(listed)
+	return relayed
+}
+
 // applyStrikeRecord applies a record of the store. A record that cannot be decoded is left out.
 func (g *gateway) applyStrikeRecord(now model.Instant, record platform.Record) {
 	if len(record.Value) == 0 {
--- a/internal/gateway/strikes_test.go
+++ b/internal/gateway/strikes_test.go
@@ -245,6 +245,25 @@
 	require.Eventually(t, func() bool { return len(second.strikes.expired(second.clock.Now())) == 0 }, shareTime, 10*time.Millisecond)
 }
 
+// Guards against strikes that a VM keeps for good because it listed the topic after they had been removed from the store.
+func TestListingForgetsRemovedStrikes(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t)
+	g := f.newVM("vm-2")
+	now := g.clock.Now()
+	page := platform.Page{Next: 2, End: 2}
+	for i := range 2 {
+		raw, err := cbor.Marshal(strikeRecord{Fingerprint: 1, Target: fmt.Sprint("x-", i), CrashedAtMillis: time.Now().Add(-quarantine.BlockDuration).UnixMilli()})
+		require.NoError(t, err)
+		page.Records = append(page.Records, platform.Record{Key: fmt.Sprint("old-", i), Value: raw, Offset: uint64(i)})
+	}
+	g.strikeFollower().applyList(now, page)
+	require.Len(t, g.strikes.expired(now), 2)
+	page.Records = page.Records[1:]
+	g.strikeFollower().applyList(now, page)
+	assert.Equal(t, []string{"old-1"}, g.strikes.expired(now))
+}
+
 // Guards against a block of a popular request when many targets end at the same time, each of them while it runs a copy.
 func TestPopularRequestIsNotBlockedWhenManyTargetsEnd(t *testing.T) {
 	t.Parallel()
