Bound the memory of callers' bodies

Cause: each body was bounded by the configuration, but not all of them together, and the garbage collector did not know the memory limit.

Change: the bodies of unfinished requests share 3/8 of the VM's memory (package bounds, which the responses use as well). A body that finds none is not read; its caller gets 503 and a retry delay of 1 s, which is true, as nothing was sent. The garbage collector gets 80 % of the memory as its limit.

--- a/internal/bounds/bounds.go
+++ b/internal/bounds/bounds.go
@@ -1,5 +1,5 @@
-// Package bounds limits the memory that responses of targets use. A target in trouble can send bytes until its connection
-// is closed.
+// Package bounds limits the memory that the heads and bodies of messages use. A target in trouble can send bytes until its
+// connection is closed, and callers can send many large bodies at the same time.
 package bounds
 
 import (
@@ -20,8 +20,8 @@
 	defaultBodyMemory = 32 << 20
 )
 
-// ErrTooLong reports that a response has more bytes than its bound.
-var ErrTooLong = errors.New("response is too long")
+// ErrTooLong reports that a head has more bytes than its bound, or that there is no memory for a body.
+var ErrTooLong = errors.New("message is too long")
 
 // HeadReader reads from a connection. While a head is read, it fails with ErrTooLong after MaxHeadBytes.
 type HeadReader struct {
@@ -79,6 +79,21 @@
 	return read, reader.reserved, err
 }
 
+// ReadSized reads a body of a known length. It reserves the memory before it reads, and returns ErrTooLong without reading
+// if there is not enough. A body that exceeds the whole memory gets all of it if nothing else holds any.
+func (m *BodyMemory) ReadSized(body io.Reader, length int64) ([]byte, *Reservation, error) {
+	reserved := &Reservation{memory: m}
+	if missing := min(length-FreeBodyBytes, m.total); missing > 0 && !reserved.take(missing) {
+		return nil, reserved, fmt.Errorf("%w: %d bytes, %d of %d bytes of the memory for bodies are free", ErrTooLong, length, m.Free(), m.total)
+	}
+	read := make([]byte, length)
+	_, err := io.ReadFull(body, read)
+	if err != nil {
+		reserved.Release()
+	}
+	return read, reserved, err
+}
+
 // Free returns the number of bytes that are not reserved.
 func (m *BodyMemory) Free() int64 { return m.free.Load() }
 
@@ -105,8 +120,12 @@
 	return true
 }
 
-// Release returns the memory. It may be called several times.
-func (r *Reservation) Release() { r.memory.free.Add(r.bytes.Swap(0)) }
+// Release returns the memory. It may be called several times and on nil.
+func (r *Reservation) Release() {
+	if r != nil {
+		r.memory.free.Add(r.bytes.Swap(0))
+	}
+}
 
 // bodyReader reads a body and reserves memory for what exceeds FreeBodyBytes.
 type bodyReader struct {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/tarragonpoint/tarragonpoint/internal/bounds"
 	"github.com/tarragonpoint/tarragonpoint/internal/fleet"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
 	"github.com/tarragonpoint/tarragonpoint/internal/picker"
@@ -23,6 +24,8 @@
 	uri           string
 	path          string
 	body          []byte
+	// bodyMemory is the memory that body holds until the request is finished.
+	bodyMemory *bounds.Reservation
 	// route and service are resolved again before each attempt with the configuration of that moment.
 	route   *fleet.Route
 	version uint64
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/tarragonpoint/tarragonpoint/internal/bounds"
 	"github.com/tarragonpoint/tarragonpoint/internal/callerconn"
 	"github.com/tarragonpoint/tarragonpoint/internal/logging"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
@@ -24,6 +25,9 @@
 	defaultBodyLimit = 1 << 20
 	// serverHeaderLimit is the limit of a request header in bytes. The configuration's limit is not applied.
 	serverHeaderLimit = 64 << 10
+	// bodyRetryAfter is the retry delay sent to the caller of a request for whose body there is no memory. Other large
+	// requests end within about that time.
+	bodyRetryAfter = time.Second
 	// headerTimeout bounds the time to read a header. Configurations set about 3 s.
 	headerTimeout = 5 * time.Second
 	// idleTimeout is how long an idle connection of a caller is kept. It must exceed the configuration's limit, because
@@ -50,6 +54,7 @@
 	stopWatch()
 	err = g.write(w, j, response)
 	response.targetResponse.Release()
+	j.bodyMemory.Release()
 	g.finish(j, response)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		// Otherwise the server would keep the connection for the caller's next request.
@@ -91,27 +96,29 @@
 		return callerResponse{}, true
 	}
 	body := http.MaxBytesReader(w, j.request.Body, limit)
-	read, err := readAll(body, j.request.ContentLength, limit)
+	read, reserved, err := g.readAll(body, j.request.ContentLength, limit)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return reject(result.BodyTooLarge, "body exceeds the limit", 0), false
+	case errors.Is(err, bounds.ErrTooLong):
+		rejected := reject(result.Overloaded, "no memory for the body", bodyRetryAfter)
+		rejected.err = err
+		return rejected, false
 	case err != nil:
 		rejected := reject(result.BadRequest, "body is incomplete", 0)
 		rejected.err = err
 		return rejected, false
 	}
-	j.body = read
+	j.body, j.bodyMemory = read, reserved
 	return callerResponse{}, true
 }
 
-func readAll(body io.Reader, length, limit int64) ([]byte, error) {
+func (g *gateway) readAll(body io.Reader, length, limit int64) ([]byte, *bounds.Reservation, error) {
 	if length > 0 && length <= limit {
-		read := make([]byte, length)
-		_, err := io.ReadFull(body, read)
-		return read, err
+		return g.callerBodies.ReadSized(body, length)
 	}
-	return io.ReadAll(body)
+	return g.callerBodies.ReadAll(body)
 }
 
 // write sends the response to the caller. It returns os.ErrDeadlineExceeded if the caller reads too slowly.
--- a/internal/gateway/role.go
+++ b/internal/gateway/role.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -20,6 +21,7 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"github.com/tarragonpoint/tarragonpoint/internal/bounds"
 	"github.com/tarragonpoint/tarragonpoint/internal/callerconn"
 	"github.com/tarragonpoint/tarragonpoint/internal/hub"
 	"github.com/tarragonpoint/tarragonpoint/internal/keyspace"
@@ -79,6 +81,8 @@
 	quarantine *quarantine.Table
 	strikes    *sharedStrikes
 	runs       *quarantine.Runs
+	// callerBodies is the memory for the bodies of unfinished requests.
+	callerBodies *bounds.BodyMemory
 	// completeSince is when this VM could first have served but for the strikes; 0 before.
 	completeSince atomic.Int64
 	// lastReadTable is the newest table that the follower of the assignment has read; only that follower uses it.
@@ -129,6 +133,9 @@
 	if err != nil {
 		return err
 	}
+	if limit := settings.heapLimit(); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
 	err = g.run(ctx)
 	select {
 	case <-output.Close():
@@ -150,7 +157,7 @@
 		watched: newWatchList(), split: newSplitter(), cold: newColdLimiter(), deadlines: newDeadlineTracker(),
 		budgets: map[model.Service]budget{}, throttle: throttle.New(), unheld: newUnheldRanges(),
 		quarantine: quarantine.New(quarantine.Options{StrikesToBlock: strikesToBlock}), strikes: newSharedStrikes(),
-		runs: quarantine.NewRuns(),
+		runs: quarantine.NewRuns(), callerBodies: bounds.NewBodyMemory(settings.callerBodyMemory()),
 	}
 	g.load = newKeyLoad(g.clock.Now)
 	g.hub = hub.NewServer(g.clock.Now, func() bool { return g.controller.isLeader.Load() }, g.leadershipConfirmed, g.handleReport)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -24,6 +24,12 @@
 	// bodyMemoryShare is the share of a VM's memory for the bodies of responses that are not delivered yet. While a body
 	// grows it is held twice, and the garbage collector may leave as much again.
 	bodyMemoryShare = 1.0 / 16
+	// callerBodyMemoryShare is the share of a VM's memory for the bodies of callers' requests that are not finished.
+	callerBodyMemoryShare = 3.0 / 8
+	// defaultCallerBodyMemory is the number of bytes for them if the VM's memory is not known.
+	defaultCallerBodyMemory = 256 << 20
+	// heapShare is the share of a VM's memory from which the garbage collector runs more often, to stay below the limit.
+	heapShare = 0.8
 	// controlBodyMemory is the memory for the incomplete bodies of responses to grants and releases, in bytes.
 	controlBodyMemory = 1 << 20
 )
@@ -96,7 +102,7 @@
 	flags.Float64Var(&s.LinkMbps, "link-mbps", 0,
 		"Bandwidth of this VM's link in Mbit/s; VMs with a fast link are preferred as leader. 0 if it is not known.")
 	flags.Float64Var(&s.MemoryMB, "memory-mb", 0,
-		"Memory limit of this VM in MB; it bounds the memory for responses of targets. 0 if it is not known.")
+		"Memory limit of this VM in MB; it bounds the memory for bodies of requests and responses. 0 if it is not known.")
 	flags.DurationVar(&s.DeliveryTimeout, "delivery-timeout", 30*time.Second,
 		"Maximum time to write a response to its caller; a caller that reads more slowly is disconnected.")
 	flags.StringVar(&s.LogLevel, "log-level", "info",
@@ -159,6 +165,18 @@
 // bodyMemory returns the number of bytes that the bodies of responses may hold until they are delivered; 0 if the memory limit is not known.
 func (s *Settings) bodyMemory() int64 { return int64(s.MemoryMB * bytesPerMB * bodyMemoryShare) }
 
+// callerBodyMemory returns the number of bytes that the bodies of unfinished requests of callers may hold.
+func (s *Settings) callerBodyMemory() int64 {
+	if s.MemoryMB == 0 {
+		return defaultCallerBodyMemory
+	}
+	return int64(s.MemoryMB * bytesPerMB * callerBodyMemoryShare)
+}
+
+// heapLimit returns the size of the heap from which the garbage collector runs more often, in bytes; 0 if the memory limit
+// is not known.
+func (s *Settings) heapLimit() int64 { return int64(s.MemoryMB * bytesPerMB * heapShare) }
+
 // regions returns the region of each zone.
 func (s *Settings) regions() (map[model.Zone]model.Region, error) {
 	regions := map[model.Zone]model.Region{}
