--- a/internal/keyspace/manager.go
+++ b/internal/keyspace/manager.go
@@ -322,18 +322,12 @@
 	return commands
 }
 
-// stepGrant returns the next grant of a range to its owner, if one is due. A resigning leader renews no grants, because
-// it can resign only while none is in flight. It makes none at all while its resignation is being written, which may have
-// taken effect already.
+// stepGrant returns the next grant of a range to its owner, if one is due.
 func (m *Manager) stepGrant(now model.Instant, r *Range, state *commandState) (Command, bool) {
-	if state.inFlight || state.fencedAt != 0 || m.isTerminated(r.Owner.Incarnation) || now < state.nextGrantAt ||
-		m.isUnresponsive(r.Owner.Incarnation) {
+	if state.inFlight || state.fencedAt != 0 || now < state.nextGrantAt {
 		return Command{}, false
 	}
-	if m.resigning && (r.Ready || m.pending != nil && m.pending.Resigned) {
-		return Command{}, false
-	}
-	if !m.keyed[r.Service] || m.isBeingDropped(r) {
+	if m.isTerminated(r.Owner.Incarnation) || m.isUnresponsive(r.Owner.Incarnation) || !m.mayGrant(r) {
 		return Command{}, false
 	}
 	if state.connectionID == 0 && now.Sub(m.confirmedAt) >= m.settings.MaxTableAge {
@@ -350,6 +344,16 @@
 	}, true
 }
 
+// mayGrant reports whether the state of this process and of its table allows a range to be granted. A resigning leader renews
+// no grants, because it can resign only while none is in flight. It makes none at all while its resignation is being
+// written, which may have taken effect already.
+func (m *Manager) mayGrant(r *Range) bool {
+	if m.resigning && (r.Ready || m.pending != nil && m.pending.Resigned) {
+		return false
+	}
+	return m.keyed[r.Service] && !m.isBeingDropped(r)
+}
+
 // isBeingDropped reports whether the table that is being written does not assign the keys of a range. Nobody may get them
 // before that table is replaced, because its successor treats them as held by nobody.
 func (m *Manager) isBeingDropped(r *Range) bool {
