--- a/internal/bounds/bounds.go
+++ b/internal/bounds/bounds.go
@@ -67,9 +67,8 @@
 	return m
 }
 
-// ReadAll reads a body to its end. The reservation is for the returned bytes; it is released on an error. ReadAll returns
-// ErrTooLong, with what it has read, if there is no memory for the rest. The
-// first FreeBodyBytes of a body do not count.
+// ReadAll reads a body to its end. The first FreeBodyBytes need no memory; the reservation is for the others and is released
+// on an error. ReadAll returns ErrTooLong, with what it has read, if there is no memory for the rest.
 func (m *BodyMemory) ReadAll(body io.Reader) ([]byte, *Reservation, error) {
 	reader := &bodyReader{reserved: &Reservation{memory: m}, source: body}
 	read, err := io.ReadAll(reader)
@@ -79,8 +78,8 @@
 	return read, reader.reserved, err
 }
 
-// ReadSized reads a body of a known length. It reserves the memory before it reads, and returns ErrTooLong without reading
-// if there is not enough. A body that exceeds the whole memory gets all of it if nothing else holds any.
+// ReadSized reads a body of a known length. Like ReadAll, but it reserves the memory before it reads, and returns ErrTooLong
+// without reading if there is not enough. A body that exceeds the whole memory gets all of it if nothing else holds any.
 func (m *BodyMemory) ReadSized(body io.Reader, length int64) ([]byte, *Reservation, error) {
 	reserved := &Reservation{memory: m}
 	if missing := min(length-FreeBodyBytes, m.total); missing > 0 && !reserved.take(missing) {
