Deliver the rejection of an upload whose body is not read

What callers saw: none outside of tests.

Change: the response is sent at once and the rest of the body is read and dropped, for up to 3 s. The test sends 16 MiB a request instead of 1 and no longer waits forever for a caller without a response, which now counts as neither served nor rejected and fails it.

--- a/internal/gateway/body_test.go
+++ b/internal/gateway/body_test.go
@@ -17,7 +17,7 @@
 // there is no memory are rejected before they are read, and other requests are served meanwhile.
 func TestUploadsShareTheMemoryForBodies(t *testing.T) {
 	t.Parallel()
-	const length = 1 << 20
+	const length = 16 << 20
 	f := startFixture(t)
 	f.store.Put("keyed.op", "config", []byte(strings.Replace(fmt.Sprintf(testConfig, 2, "3s"), `"max-body-bytes":4096`, `"max-body-bytes":67108864`, 1)))
 	require.Eventually(t, func() bool { return f.gateway.state.config.Load().Version == 2 }, settleTime, 10*time.Millisecond)
@@ -35,7 +35,12 @@
 	const uploads = 6
 	statuses := make(chan testResponse, uploads)
 	for i := range uploads {
-		go func() { statuses <- f.sendTo(g, http.MethodPost, "/notices/1", fmt.Sprint("u-", i), body) }()
+		go func() {
+			var response testResponse
+			// sendTo ends the goroutine if the caller gets no response.
+			defer func() { statuses <- response }()
+			response = f.sendTo(g, http.MethodPost, "/notices/1", fmt.Sprint("u-", i), body)
+		}()
 	}
 	time.Sleep(300 * time.Millisecond)
 	assert.Equal(t, http.StatusOK, f.sendTo(g, http.MethodPost, "/notices/2", "small", "small").status)
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -26,6 +27,8 @@
 	body          []byte
 	// bodyMemory is the memory that body holds until the request is finished.
 	bodyMemory *bounds.Reservation
+	// unread is the rest of a body for which there was no memory.
+	unread io.Reader
 	// route and service are resolved again before each attempt with the configuration of that moment.
 	route   *fleet.Route
 	version uint64
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -28,6 +28,8 @@
 	// bodyRetryAfter is the retry delay sent to the caller of a request for whose body there is no memory. Other large
 	// requests end within about that time.
 	bodyRetryAfter = time.Second
+	// discardTimeout bounds the time to read the rest of such a body. Callers stop sending once they have the response.
+	discardTimeout = 3 * time.Second
 	// headerTimeout bounds the time to read a header. Configurations set about 3 s.
 	headerTimeout = 5 * time.Second
 	// idleTimeout is how long an idle connection of a caller is kept. It must exceed the configuration's limit, because
@@ -52,7 +54,12 @@
 		response = g.serve(w, j)
 	}
 	stopWatch()
+	if j.unread != nil {
+		// Without it the server reads a part of the body before it sends the response.
+		_ = http.NewResponseController(w).EnableFullDuplex()
+	}
 	err = g.write(w, j, response)
+	g.discardBody(w, j)
 	response.targetResponse.Release()
 	j.bodyMemory.Release()
 	g.finish(j, response)
@@ -104,6 +111,7 @@
 	case errors.Is(err, bounds.ErrTooLong):
 		rejected := reject(result.Overloaded, "no memory for the body", bodyRetryAfter)
 		rejected.err = err
+		j.unread = body
 		return rejected, false
 	case err != nil:
 		rejected := reject(result.BadRequest, "body is incomplete", 0)
@@ -114,6 +122,19 @@
 	return callerResponse{}, true
 }
 
+// discardBody reads the rest of a rejected request's body. Otherwise the connection would be reset while the caller sends,
+// and the caller might lose the response.
+func (g *gateway) discardBody(w http.ResponseWriter, j *job) {
+	if j.unread == nil {
+		return
+	}
+	control := http.NewResponseController(w)
+	_ = control.Flush()
+	_ = control.SetReadDeadline(time.Now().Add(discardTimeout))
+	// A caller that stops sending has got its response.
+	_, _ = io.Copy(io.Discard, j.unread)
+}
+
 func (g *gateway) readAll(body io.Reader, length, limit int64) ([]byte, *bounds.Reservation, error) {
 	if length > 0 && length <= limit {
 		return g.callerBodies.ReadSized(body, length)
