Count a leader's term from when its call to the store was sent

What callers could see: two holders of a key after a change of leader.

Cause: a successful write confirmed leadership as of its response, and a table that was received as of its arrival. If the response was delayed, the leader renewed grants for longer than its successor waits.

Evidence: TestLateResponseDoesNotProlongLeadership fails with the former rule.

Change: a write confirms leadership as of when it was sent, and a table that arrives confirms nothing; the read that follows it does, as of its start.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -94,10 +94,10 @@
 // viewChanged marks the configuration or the registry as changed. The loop reads both at its next step.
 func (c *controller) viewChanged() { c.viewDirty.Store(true) }
 
-// tableRead passes a new table to the state machine. The state machine modifies its table, so it gets a copy.
-func (c *controller) tableRead(now model.Instant, table *keyspace.Table) {
+// tableReceived passes a new table to the state machine. The state machine modifies its table, so it gets a copy.
+func (c *controller) tableReceived(now model.Instant, table *keyspace.Table) {
 	copied := table.Clone()
-	c.post(func(model.Instant) { c.manager.TableRead(now, copied, copied.Offset+1) })
+	c.post(func(model.Instant) { c.manager.TableReceived(now, copied) })
 }
 
 func (c *controller) tableConfirmed(started model.Instant, end uint64) {
@@ -214,6 +214,7 @@
 }
 
 func (c *controller) append(ctx context.Context, command keyspace.Command) {
+	started := c.gw.clock.Now()
 	raw, err := command.Append.Encode()
 	if err == nil {
 		_, err = c.gw.store.Append(ctx, topicAssignment, command.AsOf, keyAssignment, raw)
@@ -232,7 +233,7 @@
 		return
 	}
 	copied := table.Clone()
-	c.post(func(now model.Instant) { c.manager.Appended(now, copied) })
+	c.post(func(now model.Instant) { c.manager.Appended(started, now, copied) })
 	c.gw.setTable(table)
 	c.gw.follower(topicAssignment).appended(c.gw.clock.Now(), record)
 }
--- a/internal/gateway/topics.go
+++ b/internal/gateway/topics.go
@@ -317,5 +317,5 @@
 	}
 	g.log.Part(logging.Keyspace).Info("assignment applied", logging.TableOffset(table.Offset), logging.Name(table.Leader),
 		logging.Count(len(table.Ranges)))
-	g.controller.tableRead(g.clock.Now(), table)
+	g.controller.tableReceived(g.clock.Now(), table)
 }
--- a/internal/keyspace/fuzz_test.go
+++ b/internal/keyspace/fuzz_test.go
@@ -245,7 +245,7 @@
 		m.Step(now)
 	}
 	moved := m.pending.Clone()
-	m.Appended(now, moved)
+	m.Appended(now, now, moved)
 	m.grantsInFlight = map[fleet.Incarnation]int{}
 	m.Resign()
 	now = now.Add(sim.settings.RetryEvery)
@@ -271,3 +271,20 @@
 		}
 	}
 }
+
+// Guards against two holders of a key: a leader whose last write was confirmed late renewed grants for longer than the next
+// leader, which may have replaced it right after that write, waits.
+func TestLateResponseDoesNotProlongLeadership(t *testing.T) {
+	sim := newSimulation(8, 1, 2)
+	sim.run(2 * time.Second)
+	m := sim.vms[0].manager
+	require.True(t, m.IsLeader(sim.now))
+	started, response := sim.now.Add(time.Second), sim.now.Add(3*time.Second)
+	written := m.draft()
+	m.Appended(started, response, written)
+	received := written.Clone()
+	received.Nonce++
+	m.TableReceived(response.Add(time.Second), received)
+	assert.True(t, m.IsLeader(started.Add(sim.settings.LeadershipTimeout-1)))
+	assert.False(t, m.IsLeader(started.Add(sim.settings.LeadershipTimeout)))
+}
--- a/internal/keyspace/hotspot_test.go
+++ b/internal/keyspace/hotspot_test.go
@@ -60,7 +60,7 @@
 		for _, command := range m.Step(now) {
 			if command.Kind == AppendTable {
 				writes++
-				m.Appended(now, command.Append.Clone())
+				m.Appended(now, now, command.Append.Clone())
 			}
 		}
 	}
--- a/internal/keyspace/manager.go
+++ b/internal/keyspace/manager.go
@@ -133,11 +133,26 @@
 // TableRead reports the newest table in the store at an instant at which the topic ended at the offset end. A nil table
 // means that the known table is still the newest.
 func (m *Manager) TableRead(at model.Instant, table *Table, end uint64) {
-	if at > m.confirmedAt {
-		m.confirmedAt = at
-	}
+	m.confirm(at)
 	m.nextOffset = max(m.nextOffset, end)
-	if table == nil || table.Offset < m.table.Offset && m.table.Leader != "" {
+	if table != nil {
+		m.replaceTable(at, table)
+	}
+}
+
+// TableReceived reports a table that this process received at an instant. How old the table was is not known, so it does not
+// confirm leadership.
+func (m *Manager) TableReceived(now model.Instant, table *Table) {
+	m.nextOffset = max(m.nextOffset, table.Offset+1)
+	m.replaceTable(now, table)
+}
+
+// confirm records an instant at which the table was the newest in the store.
+func (m *Manager) confirm(at model.Instant) { m.confirmedAt = max(m.confirmedAt, at) }
+
+// replaceTable adopts a table unless it is the known one or older.
+func (m *Manager) replaceTable(at model.Instant, table *Table) {
+	if table.Offset < m.table.Offset && m.table.Leader != "" {
 		return
 	}
 	if table.Offset == m.table.Offset && table.Nonce == m.table.Nonce && m.table.Leader != "" {
@@ -250,11 +265,12 @@
 	return Command{Kind: AppendTable, Append: m.pending, AsOf: m.pending.Offset}, true
 }
 
-// Appended reports that a write of the table took effect.
-func (m *Manager) Appended(now model.Instant, table *Table) {
+// Appended reports that a write of the table that was sent at the instant started took effect. Its response may have been
+// delayed, so the table may have been replaced since.
+func (m *Manager) Appended(started, now model.Instant, table *Table) {
 	m.pendingInFlight = false
 	m.pending = nil
-	m.confirmedAt = now
+	m.confirm(started)
 	m.nextOffset = max(m.nextOffset, table.Offset+1)
 	m.nextAppend = now.Add(time.Duration(len(table.Ranges)) * m.settings.WriteIntervalPerRange)
 	m.adopt(now, table)
--- a/internal/keyspace/simulation_test.go
+++ b/internal/keyspace/simulation_test.go
@@ -246,7 +246,7 @@
 		sim.after(time.Second, reply(func() { vm.manager.AppendFailed(sim.now, true) }))
 		return
 	}
-	written := command.Append.Clone()
+	written, started := command.Append.Clone(), sim.now
 	commit := func() bool {
 		if uint64(len(sim.log)) != command.AsOf {
 			return false
@@ -263,7 +263,7 @@
 		sim.after(time.Second, reply(func() { vm.manager.AppendFailed(sim.now, true) }))
 	default:
 		if commit() {
-			sim.after(20*time.Millisecond, reply(func() { vm.manager.Appended(sim.now, written.Clone()) }))
+			sim.after(20*time.Millisecond, reply(func() { vm.manager.Appended(started, sim.now, written.Clone()) }))
 		} else {
 			sim.after(20*time.Millisecond, reply(func() { vm.manager.AppendFailed(sim.now, false) }))
 		}
