Show two holders of a key after a lost or late response of the store

Cause: (1) a write whose response is lost takes effect, its retry is rejected, and the leader grants under the table that it has replaced until it reads the record; (2) a late response to a write replaces a newer table that has been read since.

Evidence: the simulation of the keyspace now plays a slow store, reads that take time and tables that the leader relays.

Change: tests only, and a type that tells the reasons of a failed write apart.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -223,8 +223,8 @@
 	if err != nil {
 		c.gw.log.Part(logging.Keyspace).Event("appending the assignment failed", logging.TableOffset(command.AsOf),
 			logging.ErrorType(err), logging.SystemError(err))
-		unknown := errorx.IsOfType(err, platform.ErrOutcomeUnknown)
-		c.post(func(now model.Instant) { c.manager.AppendFailed(now, unknown) })
+		failure := appendFailure(err)
+		c.post(func(now model.Instant) { c.manager.AppendFailed(now, failure) })
 		return
 	}
 	record := platform.Record{Key: keyAssignment, Value: raw, Offset: command.AsOf}
@@ -238,6 +238,17 @@
 	c.gw.follower(topicAssignment).appended(c.gw.clock.Now(), record)
 }
 
+// appendFailure returns the failure of a write that ended with an error.
+func appendFailure(err error) keyspace.AppendFailure {
+	switch {
+	case errorx.IsOfType(err, platform.ErrConflict):
+		return keyspace.AppendConflict
+	case errorx.IsOfType(err, platform.ErrOutcomeUnknown):
+		return keyspace.AppendUnanswered
+	}
+	return keyspace.AppendNotExecuted
+}
+
 // grant sends a grant. Grants to one target are sent one at a time over one connection.
 func (c *controller) grant(ctx context.Context, command keyspace.Command) {
 	callCtx, cancel := context.WithTimeout(ctx, c.settings.CommandTimeout)
--- a/internal/keyspace/event.go
+++ b/internal/keyspace/event.go
@@ -87,6 +87,20 @@
 	return [...]string{"done", "fenced", "refused", "not-sent", "silent", "replaced", "disconnected"}[o]
 }
 
+// AppendFailure is the reason why a write of the table was not confirmed.
+type AppendFailure uint8
+
+// Reasons why a write of the table was not confirmed.
+const (
+	// AppendUnanswered means that no response arrived: the write may have been executed or may still be executed later.
+	AppendUnanswered AppendFailure = iota
+	// AppendNotExecuted means that this attempt was not executed and never will be.
+	AppendNotExecuted
+	// AppendConflict means that the topic no longer ends at the offset of the write: an earlier attempt or another VM has
+	// written a record there.
+	AppendConflict
+)
+
 // Settings holds the durations, limits and thresholds of the state machine.
 type Settings struct {
 	// Hold is the validity of a grant. It bounds how long the keys of a target that fails without notice are unserved.
--- a/internal/keyspace/fuzz_test.go
+++ b/internal/keyspace/fuzz_test.go
@@ -45,12 +45,24 @@
 
 // fault starts or ends one fault.
 func (sim *simulation) fault(t *rapid.T) {
+	sim.faultOf(t, slices.Sorted(maps.Keys(sim.faults(0, 0, false))))
+}
+
+// faultOf starts or ends one of the named faults.
+func (sim *simulation) faultOf(t *rapid.T, names []string) {
 	vm := rapid.IntRange(0, len(sim.vms)-1).Draw(t, "vm")
 	target := rapid.IntRange(0, len(sim.targets)-1).Draw(t, "target")
 	on := rapid.Bool().Draw(t, "on")
-	faults := map[string]func(){
+	sim.faults(vm, target, on)[rapid.SampledFrom(names).Draw(t, "fault")]()
+}
+
+// faults returns the functions that start or end each fault.
+func (sim *simulation) faults(vm, target int, on bool) map[string]func() {
+	return map[string]func(){
 		"store":      func() { sim.storeDown = on },
 		"store-cut":  func() { sim.storeCut[vm] = on },
+		"store-slow": func() { sim.storeSlow = on },
+		"relay":      func() { sim.relayCut[vm] = on },
 		"path":       func() { sim.pathCut[[2]int{vm, target}] = on },
 		"path-all":   func() { sim.cutAllPaths(vm, on) },
 		"vm-kill":    func() { sim.killVM(vm, on) },
@@ -64,8 +76,6 @@
 		"resign":     func() { sim.resign(vm) },
 		"all-healed": sim.heal,
 	}
-	names := slices.Sorted(maps.Keys(faults))
-	faults[rapid.SampledFrom(names).Draw(t, "fault")]()
 }
 
 func (sim *simulation) cutAllPaths(vm int, on bool) {
@@ -252,7 +262,7 @@
 	m.Step(now)
 	require.NotNil(t, m.pending)
 	require.True(t, m.pending.Resigned)
-	m.AppendFailed(now, true)
+	m.AppendFailed(now, AppendUnanswered)
 	for _, holder := range view.Candidates {
 		m.holdUntil[holder.Incarnation] = now
 	}
@@ -266,7 +276,7 @@
 		for _, command := range m.Step(now) {
 			assert.NotEqual(t, GrantKeys, command.Kind, "%+v", command)
 			if command.Kind == AppendTable {
-				m.AppendFailed(now, true)
+				m.AppendFailed(now, AppendUnanswered)
 			}
 		}
 	}
--- a/internal/keyspace/manager.go
+++ b/internal/keyspace/manager.go
@@ -276,11 +276,11 @@
 	m.adopt(now, table)
 }
 
-// AppendFailed reports that a write of the table was rejected, or that no response arrived if unknown is true.
-func (m *Manager) AppendFailed(now model.Instant, unknown bool) {
+// AppendFailed reports that a write of the table was not confirmed.
+func (m *Manager) AppendFailed(now model.Instant, failure AppendFailure) {
 	m.pendingInFlight = false
 	m.nextAppend = now.Add(m.settings.RetryEvery)
-	if !unknown {
+	if failure != AppendUnanswered {
 		m.pending = nil
 	}
 }
--- a/internal/keyspace/simulation_test.go
+++ b/internal/keyspace/simulation_test.go
@@ -15,19 +15,23 @@
 // they reject a grant whose fence is lower than one they have seen for any of its keys, and the validity of a grant
 // starts when it arrives.
 type simulation struct {
-	random   *rand.Rand
-	settings Settings
-	now      model.Instant
-	queue    []delivery
-	seq      int
+	random *rand.Rand
+	// storeRandom draws the delays of a slow store and of relayed records.
+	storeRandom *rand.Rand
+	settings    Settings
+	now         model.Instant
+	queue       []delivery
+	seq         int
 
 	log             []*Table
 	targets         []*fakeTarget
 	vms             []*fakeVM
 	lastIncarnation int64
-	// storeDown, storeCut, pathCut and slow are the active faults.
+	// storeDown, storeCut, storeSlow, relayCut, pathCut and slow are the active faults.
 	storeDown bool
 	storeCut  map[int]bool
+	storeSlow bool
+	relayCut  map[int]bool
 	pathCut   map[[2]int]bool
 	slow      bool
 	// unconfigured is true while the configuration lacks the service.
@@ -79,15 +83,19 @@
 	// connected holds the VM's open connections by the index of their target.
 	connected   map[int]fakeConnection
 	incarnation int
-	lastRead    int
+	// lastRead is the offset of the newest record that the VM has read, written or been sent by the leader; -1 if none.
+	lastRead int
+	// reading is true while a read of the store is under way.
+	reading bool
 }
 
 const simulatedService model.Service = "review"
 
 func newSimulation(seed uint64, vms, targets int) *simulation {
 	sim := &simulation{
-		random: rand.New(rand.NewPCG(seed, 1)), settings: DefaultSettings(), now: model.Instant(time.Hour),
-		storeCut: map[int]bool{}, pathCut: map[[2]int]bool{},
+		random: rand.New(rand.NewPCG(seed, 1)), storeRandom: rand.New(rand.NewPCG(seed, 2)),
+		settings: DefaultSettings(), now: model.Instant(time.Hour),
+		storeCut: map[int]bool{}, relayCut: map[int]bool{}, pathCut: map[[2]int]bool{},
 	}
 	for i := 0; i < 24; i++ {
 		sim.keys = append(sim.keys, sim.random.IntN(Keys))
@@ -140,7 +148,7 @@
 	vm.name = fmt.Sprintf("vm-%d/%d", i, vm.incarnation)
 	vm.manager = New(sim.settings, vm.name, vm.name, sim.random.Uint64)
 	vm.connected = map[int]fakeConnection{}
-	vm.up, vm.paused, vm.leaving, vm.lastRead = true, false, false, -1
+	vm.up, vm.paused, vm.leaving, vm.lastRead, vm.reading = true, false, false, -1, false
 }
 
 func (sim *simulation) after(delay time.Duration, run func()) {
@@ -194,18 +202,94 @@
 	vm.manager.SetElected(sim.elected() == i)
 	if sim.reachesStore(i) {
 		vm.manager.SetView(sim.view())
-		var table *Table
-		if newest := len(sim.log) - 1; newest > vm.lastRead {
-			table = sim.log[newest].Clone()
-			vm.lastRead = newest
-		}
-		vm.manager.TableRead(sim.now, table, uint64(len(sim.log)))
+		sim.startRead(i, vm)
 	}
 	for _, command := range vm.manager.Step(sim.now) {
 		sim.execute(i, vm, command)
 	}
 }
 
+// storeDelay returns how long a message to or from the store takes.
+func (sim *simulation) storeDelay() time.Duration {
+	switch {
+	case !sim.storeSlow:
+		return 0
+	case sim.storeRandom.IntN(2) == 0:
+		return time.Duration(sim.storeRandom.IntN(1500)) * time.Millisecond
+	}
+	return time.Duration(1+sim.storeRandom.IntN(15)) * time.Millisecond
+}
+
+const (
+	// storeCallTimeout is how long a VM waits for the response to a write.
+	storeCallTimeout = time.Second
+	// storeReadTimeout is the same for a read.
+	storeReadTimeout = 2500 * time.Millisecond
+)
+
+// startRead reads the newest record unless a read is under way.
+func (sim *simulation) startRead(i int, vm *fakeVM) {
+	if vm.reading {
+		return
+	}
+	vm.reading = true
+	started, lastRead := sim.now, vm.lastRead
+	ended := sim.replyTo(vm)
+	request, response := sim.storeDelay(), sim.storeDelay()
+	if request+response == 0 {
+		sim.finishRead(i, vm, started, lastRead, len(sim.log)-1)
+		return
+	}
+	if request+response >= storeReadTimeout {
+		sim.after(storeReadTimeout, ended(func() { vm.reading = false }))
+		return
+	}
+	sim.after(request, func() {
+		if !sim.reachesStore(i) {
+			sim.after(storeReadTimeout-request, ended(func() { vm.reading = false }))
+			return
+		}
+		newest := len(sim.log) - 1
+		sim.after(response, ended(func() { sim.finishRead(i, vm, started, lastRead, newest) }))
+	})
+}
+
+// finishRead applies the result of a read. The VM ignores it if it has got newer records in the meantime.
+func (sim *simulation) finishRead(i int, vm *fakeVM, started model.Instant, lastRead, newest int) {
+	vm.reading = false
+	if vm.lastRead != lastRead {
+		return
+	}
+	if newest > lastRead {
+		vm.lastRead = newest
+		sim.applyRecord(i, vm, newest)
+	}
+	vm.manager.TableRead(started, nil, uint64(newest+1))
+}
+
+// applyRecord passes a record to a VM, which relays it to the other VMs if it is the leader.
+func (sim *simulation) applyRecord(i int, vm *fakeVM, offset int) {
+	vm.manager.TableReceived(sim.now, sim.log[offset].Clone())
+	if !vm.manager.IsLeader(sim.now) || sim.relayCut[i] {
+		return
+	}
+	for j, other := range sim.vms {
+		if j == i || sim.relayCut[j] {
+			continue
+		}
+		delay := time.Duration(1+sim.storeRandom.IntN(60)) * time.Millisecond
+		if sim.storeRandom.IntN(10) == 0 {
+			delay = time.Duration(sim.storeRandom.IntN(3000)) * time.Millisecond
+		}
+		sim.after(delay, sim.replyTo(other)(func() {
+			if other.lastRead == offset-1 {
+				other.lastRead = offset
+				other.manager.TableReceived(sim.now, sim.log[offset].Clone())
+			}
+		}))
+	}
+}
+
 func (sim *simulation) view() View {
 	if sim.unconfigured {
 		return View{}
@@ -225,14 +309,7 @@
 }
 
 func (sim *simulation) execute(i int, vm *fakeVM, command Command) {
-	incarnation := vm.incarnation
-	reply := func(run func()) func() {
-		return func() {
-			if vm.up && vm.incarnation == incarnation {
-				run()
-			}
-		}
-	}
+	reply := sim.replyTo(vm)
 	if command.Kind == AppendTable {
 		sim.append(i, vm, command, reply)
 		return
@@ -240,10 +317,28 @@
 	sim.sendCommand(i, vm, command, reply)
 }
 
+// replyTo returns a function that makes a response to a VM's current process of an event. A paused process gets its responses
+// when it continues, in any order.
+func (sim *simulation) replyTo(vm *fakeVM) func(run func()) func() {
+	incarnation := vm.incarnation
+	var deliver func(run func())
+	deliver = func(run func()) {
+		switch {
+		case !vm.up || vm.incarnation != incarnation:
+		case vm.paused:
+			sim.after(time.Duration(20+sim.storeRandom.IntN(40))*time.Millisecond, func() { deliver(run) })
+		default:
+			run()
+		}
+	}
+	return func(run func()) func() { return func() { deliver(run) } }
+}
+
 // append writes a record if its condition holds. The response may be lost, and the write may take effect late.
 func (sim *simulation) append(i int, vm *fakeVM, command Command, reply func(func()) func()) {
+	unknown := reply(func() { vm.manager.AppendFailed(sim.now, AppendUnanswered) })
 	if !sim.reachesStore(i) {
-		sim.after(time.Second, reply(func() { vm.manager.AppendFailed(sim.now, true) }))
+		sim.after(storeCallTimeout, unknown)
 		return
 	}
 	written, started := command.Append.Clone(), sim.now
@@ -254,19 +349,37 @@
 		sim.log = append(sim.log, written)
 		return true
 	}
-	switch sim.random.IntN(12) {
-	case 0:
-		sim.after(time.Duration(sim.random.IntN(3000))*time.Millisecond, func() { commit() })
-		sim.after(time.Second, reply(func() { vm.manager.AppendFailed(sim.now, true) }))
-	case 1:
+	respond := func(delay time.Duration, committed bool) {
+		if committed {
+			sim.after(delay, reply(func() { sim.appended(i, vm, started, written) }))
+			return
+		}
+		sim.after(delay, reply(func() { vm.manager.AppendFailed(sim.now, AppendConflict) }))
+	}
+	request, response := sim.storeDelay(), sim.storeDelay()
+	switch lost := sim.random.IntN(12); {
+	case lost == 0:
+		sim.after(time.Duration(sim.random.IntN(3000))*time.Millisecond+5*request, func() { commit() })
+		sim.after(storeCallTimeout, unknown)
+	case request+response == 0 && lost == 1:
 		commit()
-		sim.after(time.Second, reply(func() { vm.manager.AppendFailed(sim.now, true) }))
+		sim.after(storeCallTimeout, unknown)
+	case request+response == 0:
+		respond(20*time.Millisecond, commit())
+	case lost == 1 || request+response >= storeCallTimeout:
+		sim.after(request, func() { commit() })
+		sim.after(storeCallTimeout, unknown)
 	default:
-		if commit() {
-			sim.after(20*time.Millisecond, reply(func() { vm.manager.Appended(started, sim.now, written.Clone()) }))
-		} else {
-			sim.after(20*time.Millisecond, reply(func() { vm.manager.AppendFailed(sim.now, false) }))
-		}
+		sim.after(request, func() { respond(response, commit()) })
+	}
+}
+
+// appended applies a record that the VM wrote.
+func (sim *simulation) appended(i int, vm *fakeVM, started model.Instant, written *Table) {
+	vm.manager.Appended(started, sim.now, written.Clone())
+	if offset := int(written.Offset); vm.lastRead == offset-1 {
+		vm.lastRead = offset
+		sim.applyRecord(i, vm, offset)
 	}
 }
 
@@ -415,8 +528,8 @@
 
 // heal ends all faults and restarts the VMs and targets that are down or leaving.
 func (sim *simulation) heal() {
-	sim.storeDown, sim.slow, sim.unconfigured = false, false, false
-	sim.storeCut, sim.pathCut = map[int]bool{}, map[[2]int]bool{}
+	sim.storeDown, sim.storeSlow, sim.slow, sim.unconfigured = false, false, false, false
+	sim.storeCut, sim.relayCut, sim.pathCut = map[int]bool{}, map[int]bool{}, map[[2]int]bool{}
 	for i, vm := range sim.vms {
 		vm.paused = false
 		if !vm.up || vm.leaving {
