Keep a table pending until a conflict with its record is resolved

What callers could see: two targets hold the same keys (OWNER).

Cause: a write whose response was lost takes effect, and its retry conflicts with it. The leader then forgot the table, and until it read the record it granted keys that the record shows as held by nobody, or after its own resignation. The same happened when the retry was turned away (503, 429) after an attempt without a response.

Change: the table stays pending, which limits what is granted, until the record at its offset or the result of a later read has arrived. It is forgotten only if no attempt can have taken effect.

--- a/internal/keyspace/manager.go
+++ b/internal/keyspace/manager.go
@@ -62,10 +62,14 @@
 	keyed map[model.Service]bool
 	loads map[model.Service]*Load
 
-	// pending is a table whose write has not been confirmed or rejected yet.
+	// pending is a table whose write has not been confirmed yet. It is nil if it is certain that no such write takes effect.
 	pending         *Table
 	pendingInFlight bool
-	nextAppend      model.Instant
+	// pendingUnanswered is true if an attempt to write pending got no response.
+	pendingUnanswered bool
+	// conflictAt is when the write of pending conflicted with a record that this VM has not read yet; 0 if it did not.
+	conflictAt model.Instant
+	nextAppend model.Instant
 	commandStates   map[rangeID]*commandState
 	// holdUntil maps each incarnation to the time until which its grants may be valid.
 	holdUntil map[fleet.Incarnation]model.Instant
@@ -138,6 +142,9 @@
 	if table != nil {
 		m.replaceTable(at, table)
 	}
+	if m.conflictAt != 0 && at >= m.conflictAt {
+		m.dropPending()
+	}
 }
 
 // TableReceived reports a table that this process received at an instant. How old the table was is not known, so it does not
@@ -169,7 +176,7 @@
 	m.changed = false
 	m.carryOverReady(former)
 	if m.pending != nil && table.Offset >= m.pending.Offset {
-		m.pending = nil
+		m.dropPending()
 	}
 	m.dropCommandStates()
 	if table.Leader != m.self || former.Leader == m.self {
@@ -252,7 +259,7 @@
 // stepTable returns the next write of the table, if one is due. A write whose response was lost is repeated unchanged
 // until the store shows whether it took effect.
 func (m *Manager) stepTable(now model.Instant) (Command, bool) {
-	if m.pendingInFlight || now < m.nextAppend {
+	if m.pendingInFlight || m.conflictAt != 0 || now < m.nextAppend {
 		return Command{}, false
 	}
 	if m.pending == nil {
@@ -269,20 +276,36 @@
 // delayed, so the table may have been replaced since.
 func (m *Manager) Appended(started, now model.Instant, table *Table) {
 	m.pendingInFlight = false
-	m.pending = nil
+	m.dropPending()
 	m.confirm(started)
 	m.nextOffset = max(m.nextOffset, table.Offset+1)
 	m.nextAppend = now.Add(time.Duration(len(table.Ranges)) * m.settings.WriteIntervalPerRange)
 	m.adopt(now, table)
 }
 
-// AppendFailed reports that a write of the table was not confirmed.
+// AppendFailed reports that a write of the table was not confirmed. The table stays pending while an attempt to write it may
+// have taken effect, which limits what may be granted.
 func (m *Manager) AppendFailed(now model.Instant, failure AppendFailure) {
 	m.pendingInFlight = false
 	m.nextAppend = now.Add(m.settings.RetryEvery)
-	if failure != AppendUnanswered {
-		m.pending = nil
+	if m.pending == nil {
+		return
 	}
+	switch failure {
+	case AppendUnanswered:
+		m.pendingUnanswered = true
+	case AppendConflict:
+		m.conflictAt = now
+	case AppendNotExecuted:
+		if !m.pendingUnanswered {
+			m.dropPending()
+		}
+	}
+}
+
+// dropPending forgets the pending table, because it is known whether it took effect.
+func (m *Manager) dropPending() {
+	m.pending, m.pendingUnanswered, m.conflictAt = nil, false, 0
 }
 
 // stepCommands appends the grants and releases that are due. A range is granted only after its previous holders have
--- a/internal/keyspace/slow_store_test.go
+++ b/internal/keyspace/slow_store_test.go
@@ -82,6 +82,8 @@
 				assert.Empty(t, grantsIn(m, now))
 				now = now.Add(time.Second)
 			}
+			m.AppendFailed(now, AppendConflict)
+			now = now.Add(time.Second)
 			m.TableReceived(now, written)
 			m.TableRead(now, nil, written.Offset+1)
 			m.Step(now)
