Do not let a late response restore a table that has been replaced

What callers could see: two targets hold the same keys (OWNER).

Cause: a response to a write made the written table the current one, even if a later table of another leader had been read while the response was on its way. The former leader then acted as the leader again, and reads of the unchanged topic confirmed it.

Evidence: TestLateResponseDoesNotRestoreReplacedTable failed before.

Change: a written table is adopted under the same condition as one that was read.

Result: the tests of keyspace pass.

--- a/internal/keyspace/manager.go
+++ b/internal/keyspace/manager.go
@@ -280,7 +280,7 @@
 	m.confirm(started)
 	m.nextOffset = max(m.nextOffset, table.Offset+1)
 	m.nextAppend = now.Add(time.Duration(len(table.Ranges)) * m.settings.WriteIntervalPerRange)
-	m.adopt(now, table)
+	m.replaceTable(now, table)
 }
 
 // AppendFailed reports that a write of the table was not confirmed. The table stays pending while an attempt to write it may
