Count a write as not executed only if its response states it

What callers could see: two targets hold the same keys (OWNER).

Cause: every failure of a write but a missing response counted as not executed: also a success whose body cannot be decoded, and statuses such as 500, 502 and 504. The leader then forgot a table that may be in force.

Change: only errors that state that a write was not executed count as such.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -238,15 +238,19 @@
 	c.gw.follower(topicAssignment).appended(c.gw.clock.Now(), record)
 }
 
-// appendFailure returns the failure of a write that ended with an error.
+// appendFailure returns the failure of a write that ended with an error. Only some errors state that it was not executed.
 func appendFailure(err error) keyspace.AppendFailure {
-	switch {
-	case errorx.IsOfType(err, platform.ErrConflict):
+	if errorx.IsOfType(err, platform.ErrConflict) {
 		return keyspace.AppendConflict
-	case errorx.IsOfType(err, platform.ErrOutcomeUnknown):
-		return keyspace.AppendUnanswered
 	}
-	return keyspace.AppendNotExecuted
+	for _, notExecuted := range []*errorx.Type{
+		platform.ErrUnavailable, platform.ErrRejected, platform.ErrFenced, keyspace.ErrTable,
+	} {
+		if errorx.IsOfType(err, notExecuted) {
+			return keyspace.AppendNotExecuted
+		}
+	}
+	return keyspace.AppendUnanswered
 }
 
 // grant sends a grant. Grants to one target are sent one at a time over one connection.
