Do not lead while the topic has a record that cannot be decoded

What callers could see: two leaders during a rolling upgrade, and so two targets that hold the same keys (OWNER).

Cause: a read that returned only records that this VM cannot decode confirmed its own older table as the newest, and let it replace those records.

Change: a read confirms leadership only if the topic ends with the known table, and a leader writes nothing after a record that it has not decoded. A VM that claims leadership after such a record still does so, and waits for the former leader.

--- a/internal/keyspace/manager.go
+++ b/internal/keyspace/manager.go
@@ -135,18 +135,24 @@
 func (m *Manager) Resigned() bool { return m.table.Leader != m.self || m.table.Resigned }
 
 // TableRead reports the newest table in the store at an instant at which the topic ended at the offset end. A nil table
-// means that the known table is still the newest.
+// means that no newer table than the known one could be read.
 func (m *Manager) TableRead(at model.Instant, table *Table, end uint64) {
-	m.confirm(at)
 	m.nextOffset = max(m.nextOffset, end)
 	if table != nil {
 		m.replaceTable(at, table)
 	}
+	if !m.hasUndecodedRecord() {
+		m.confirm(at)
+	}
 	if m.conflictAt != 0 && at >= m.conflictAt {
 		m.dropPending()
 	}
 }
 
+// hasUndecodedRecord reports whether the topic ends after the known table. The records in between could not be decoded, and one
+// may be the table of another leader.
+func (m *Manager) hasUndecodedRecord() bool { return m.nextOffset > m.table.Offset+1 }
+
 // TableReceived reports a table that this process received at an instant. How old the table was is not known, so it does not
 // confirm leadership.
 func (m *Manager) TableReceived(now model.Instant, table *Table) {
--- a/internal/keyspace/plan.go
+++ b/internal/keyspace/plan.go
@@ -28,7 +28,7 @@
 		}
 		return m.planLeadershipClaim()
 	}
-	if !m.IsLeader(now) {
+	if !m.IsLeader(now) || m.hasUndecodedRecord() {
 		return nil
 	}
 	if m.resigning {
--- a/internal/keyspace/slow_store_test.go
+++ b/internal/keyspace/slow_store_test.go
@@ -133,3 +133,22 @@
 	assert.False(t, m.IsLeader(sim.now))
 	assert.Equal(t, "other", m.Table().Leader)
 }
+
+// Guards against two leaders: a VM that cannot decode a record of the topic, as in a rolling upgrade, must not take its own
+// older table for the newest, nor replace the record.
+func TestUndecodedRecordEndsLeadership(t *testing.T) {
+	sim := newSimulation(9, 1, 2)
+	sim.run(2 * time.Second)
+	m := sim.vms[0].manager
+	require.True(t, m.IsLeader(sim.now))
+	confirmed := sim.now
+	end := m.Table().Offset + 2
+	for now := sim.now; now < sim.now.Add(sim.settings.LeadershipTimeout); now = now.Add(400 * time.Millisecond) {
+		m.TableRead(now, nil, end)
+		m.changed = true
+		for _, command := range m.Step(now) {
+			assert.NotEqual(t, AppendTable, command.Kind)
+		}
+	}
+	assert.False(t, m.IsLeader(confirmed.Add(sim.settings.LeadershipTimeout)))
+}
