Log why keys are granted that their previous holder did not release

What operators could not see: why a range counted as free when its next owner got it.

Change: such a grant states the previous holder, whether it terminated or its hold ended and how long ago, and the outcome and age of the last grant to it; a new leader states for how long it waits for former ones.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -170,7 +170,8 @@
 	c.isLeader.Store(isLeader)
 	log := c.gw.log.Part(logging.Keyspace)
 	if isLeader {
-		log.Event("this VM became the leader", logging.TableOffset(c.manager.Table().Offset))
+		log.Event("this VM became the leader", logging.TableOffset(c.manager.Table().Offset),
+			logging.Duration(max(0, c.manager.FormerGrantsUntil().Sub(now))))
 	} else {
 		log.Event("this VM is no longer the leader", logging.TableOffset(c.manager.Table().Offset),
 			logging.Name(c.manager.Table().Leader))
@@ -207,6 +208,7 @@
 	case keyspace.AppendTable:
 		go c.append(ctx, command)
 	case keyspace.GrantKeys:
+		c.logUnreleased(command)
 		go c.grant(ctx, command)
 	case keyspace.ReleaseKeys:
 		go c.release(ctx, command)
@@ -333,6 +335,24 @@
 	c.gw.log.Part(logging.Keyspace).Event(command.Kind.String()+" ended", fields...)
 }
 
+// logUnreleased logs a grant of keys that previous holders did not release, and why they can no longer hold them.
+func (c *controller) logUnreleased(command keyspace.Command) {
+	for _, holder := range command.Unreleased {
+		fields := []logging.Field{
+			logging.TargetID(command.Target.Incarnation.ID), logging.KeyRange(command.From, command.To), logging.Fence(command.Fence),
+			logging.Name(string(holder.Target)), logging.Elapsed(holder.HoldEnded),
+		}
+		if holder.Granted {
+			fields = append(fields, logging.State(holder.LastGrant.String()), logging.DataAge(holder.LastGrantAge))
+		}
+		reason := "hold of the previous holder ended"
+		if holder.Terminated {
+			reason = "previous holder terminated"
+		}
+		c.gw.log.Part(logging.Keyspace).Event("granting keys without a release", append(fields, logging.Reason(reason))...)
+	}
+}
+
 // maintainMembership keeps this VM in the election group while it is a candidate, until ctx ends.
 func (c *controller) maintainMembership(ctx context.Context) {
 	generation := uint64(0)
--- a/internal/keyspace/event.go
+++ b/internal/keyspace/event.go
@@ -42,10 +42,27 @@
 	// a higher fence.
 	ConnectionID uint64
 
+	// Unreleased lists the previous holders that did not release the range before this grant. Renewals have none.
+	Unreleased []UnreleasedHolder
+
 	// recordFence is the fence of the range in the table. Fence is never below it.
 	recordFence uint64
 }
 
+// UnreleasedHolder states why a previous holder of a range can no longer hold it, although it did not release it.
+type UnreleasedHolder struct {
+	Target model.TargetID
+	// Terminated is true if another target responded at its address. Otherwise its hold ended.
+	Terminated bool
+	// HoldEnded is how long ago its last hold ended; 0 if this process counted no grant to it.
+	HoldEnded time.Duration
+	// LastGrant is the outcome of the last grant that this process sent to it, and LastGrantAge the time since then. They are
+	// set only if Granted is true.
+	Granted      bool
+	LastGrant    Outcome
+	LastGrantAge time.Duration
+}
+
 // CommandKind is the type of a command.
 type CommandKind uint8
 
--- a/internal/keyspace/manager.go
+++ b/internal/keyspace/manager.go
@@ -41,6 +41,12 @@
 	handover      string
 }
 
+// endedGrant is the outcome of a grant and when it ended.
+type endedGrant struct {
+	at      model.Instant
+	outcome Outcome
+}
+
 // Manager is the state machine of one VM. All methods must be called by one goroutine.
 type Manager struct {
 	settings Settings
@@ -68,11 +74,13 @@
 	// pendingUnanswered is true if an attempt to write pending got no response.
 	pendingUnanswered bool
 	// conflictAt is when the write of pending conflicted with a record that this VM has not read yet; 0 if it did not.
-	conflictAt model.Instant
-	nextAppend model.Instant
-	commandStates   map[rangeID]*commandState
+	conflictAt    model.Instant
+	nextAppend    model.Instant
+	commandStates map[rangeID]*commandState
 	// holdUntil maps each incarnation to the time until which its grants may be valid.
 	holdUntil map[fleet.Incarnation]model.Instant
+	// lastGrants holds the end of the last grant to each incarnation, for logs.
+	lastGrants map[fleet.Incarnation]endedGrant
 	// unresponsive maps the incarnations that get no grants after repeated failures to the time of the last failure.
 	unresponsive map[fleet.Incarnation]model.Instant
 	// terminated maps the incarnations that are known to have terminated to the time at which this VM detected it.
@@ -94,6 +102,7 @@
 		settings: settings, self: self, address: address, random: random, table: &Table{}, incarnations: incarnationsByID{},
 		loads: map[model.Service]*Load{}, commandStates: map[rangeID]*commandState{},
 		holdUntil: map[fleet.Incarnation]model.Instant{}, unresponsive: map[fleet.Incarnation]model.Instant{},
+		lastGrants:     map[fleet.Incarnation]endedGrant{},
 		terminated:     map[fleet.Incarnation]model.Instant{},
 		grantsInFlight: map[fleet.Incarnation]int{},
 	}
@@ -107,6 +116,9 @@
 	return m.table.Leader == m.self && !m.table.Resigned && now.Sub(m.confirmedAt) < m.settings.LeadershipTimeout
 }
 
+// FormerGrantsUntil returns the time until which leaders before this process may make grants.
+func (m *Manager) FormerGrantsUntil() model.Instant { return m.formerGrantsUntil }
+
 // SetElected sets whether this VM is the one that may claim leadership, as elected in the store.
 func (m *Manager) SetElected(elected bool) { m.elected = elected }
 
@@ -386,9 +398,30 @@
 	return Command{
 		Kind: GrantKeys, Service: r.Service, Target: r.Owner, From: r.From, To: r.To,
 		Fence: r.Fence + state.fenceIncrement, recordFence: r.Fence, Handover: state.handover, ConnectionID: state.connectionID,
+		Unreleased: m.unreleased(now, r, state),
 	}, true
 }
 
+// unreleased returns the previous holders that have not released a range.
+func (m *Manager) unreleased(now model.Instant, r *Range, state *commandState) []UnreleasedHolder {
+	var holders []UnreleasedHolder
+	for _, previous := range r.Previous {
+		incarnation := previous.Incarnation
+		if state.released[incarnation] {
+			continue
+		}
+		holder := UnreleasedHolder{Target: incarnation.ID, Terminated: m.isTerminated(incarnation)}
+		if until, counted := m.holdUntil[incarnation]; counted {
+			holder.HoldEnded = now.Sub(until)
+		}
+		if last, granted := m.lastGrants[incarnation]; granted {
+			holder.Granted, holder.LastGrant, holder.LastGrantAge = true, last.outcome, now.Sub(last.at)
+		}
+		holders = append(holders, holder)
+	}
+	return holders
+}
+
 // mayGrant reports whether the state of this process and of its table allows a range to be granted. A resigning leader renews
 // no grants, because it can resign only while none is in flight. It makes none at all while its resignation is being
 // written, which may have taken effect already.
@@ -435,6 +468,7 @@
 // GrantEnded reports the outcome of a grant, and the connection over which its response came if that stays open, or 0.
 func (m *Manager) GrantEnded(now model.Instant, command Command, outcome Outcome, connection uint64) {
 	incarnation := command.Target.Incarnation
+	m.lastGrants[incarnation] = endedGrant{at: now, outcome: outcome}
 	m.grantsInFlight[incarnation]--
 	if m.grantsInFlight[incarnation] <= 0 {
 		delete(m.grantsInFlight, incarnation)
--- a/internal/keyspace/simulation_test.go
+++ b/internal/keyspace/simulation_test.go
@@ -41,6 +41,8 @@
 	// connections counts the opened connections; a connection's ID is its number.
 	connections uint64
 	grants      int
+	// unreleased holds the previous holders that had not released the keys of a grant.
+	unreleased []UnreleasedHolder
 }
 
 type delivery struct {
@@ -310,6 +312,7 @@
 
 func (sim *simulation) execute(i int, vm *fakeVM, command Command) {
 	reply := sim.replyTo(vm)
+	sim.unreleased = append(sim.unreleased, command.Unreleased...)
 	if command.Kind == AppendTable {
 		sim.append(i, vm, command, reply)
 		return
