Show two holders of a key when the response to a grant is altered

Cause: a grant that gets any other status than 200 and 409 counts as never executed, so the time until which its target may hold the keys is not extended.

Evidence: the simulation of the keyspace now plays targets that send an earlier response once more or alter one, and targets that are registered and not usable.

--- a/internal/keyspace/fuzz_test.go
+++ b/internal/keyspace/fuzz_test.go
@@ -74,6 +74,8 @@
 		"slow":       func() { sim.slow = on },
 		"service":    func() { sim.unconfigured = on },
 		"resign":     func() { sim.resign(vm) },
+		"unusable":   func() { sim.targets[target].unusable = on },
+		"false":      func() { sim.falseResponses = on },
 		"all-healed": sim.heal,
 	}
 }
--- a/internal/keyspace/simulation_test.go
+++ b/internal/keyspace/simulation_test.go
@@ -34,6 +34,8 @@
 	relayCut  map[int]bool
 	pathCut   map[[2]int]bool
 	slow      bool
+	// falseResponses is true while targets send earlier responses once more and alter responses.
+	falseResponses bool
 	// unconfigured is true while the configuration lacks the service.
 	unconfigured bool
 	keys         []int
@@ -64,8 +66,10 @@
 	incarnation int64
 	up          bool
 	registered  bool
-	seenFences  map[int]uint64
-	holds       map[int]hold
+	// unusable is true for a target that is registered and may not be assigned keys, such as one that is about to stop.
+	unusable   bool
+	seenFences map[int]uint64
+	holds      map[int]hold
 	// formerFences holds the fences under which the previous incarnation of the same ID held keys.
 	formerFences map[int]uint64
 }
@@ -73,6 +77,8 @@
 type fakeConnection struct {
 	id          uint64
 	incarnation int64
+	// responses holds the outcomes of the grants that were sent over the connection.
+	responses []Outcome
 }
 
 type fakeVM struct {
@@ -125,7 +131,7 @@
 		target.formerFences = nil
 		target.id = model.TargetID(fmt.Sprintf("t-%d", sim.lastIncarnation))
 	}
-	target.up, target.registered = true, true
+	target.up, target.registered, target.unusable = true, true, false
 	target.seenFences, target.holds = map[int]uint64{}, map[int]hold{}
 }
 
@@ -303,7 +309,7 @@
 				Holder: Holder{
 					Incarnation: fleet.Incarnation{ID: target.id, StartedAtMillis: target.incarnation}, Address: target.address,
 				},
-				Service: simulatedService, Usable: true, Weight: 1,
+				Service: simulatedService, Usable: !target.unusable, Weight: 1,
 			})
 		}
 	}
@@ -429,10 +435,34 @@
 			sim.after(sim.settings.CommandTimeout, ended(Unresponsive))
 			return
 		}
-		sim.after(delay, ended(outcome))
+		sim.after(delay, ended(sim.receivedOutcome(vm, j, connection, command, outcome)))
 	})
 }
 
+// receivedOutcome returns the outcome that a VM takes from the response to a grant. A false response is a copy of an earlier
+// one on the same connection, or has another status. Only a first response can show that the target was replaced.
+func (sim *simulation) receivedOutcome(vm *fakeVM, j int, connection uint64, command Command, outcome Outcome) Outcome {
+	connected := vm.connected[j]
+	if command.Kind != GrantKeys || connected.id != connection {
+		return outcome
+	}
+	earlier := connected.responses
+	connected.responses = append(earlier, outcome)
+	vm.connected[j] = connected
+	if !sim.falseResponses || sim.storeRandom.IntN(4) != 0 {
+		return outcome
+	}
+	// A connection on which a false response was detected is not used again.
+	vm.connected[j] = fakeConnection{}
+	if len(earlier) == 0 || sim.storeRandom.IntN(4) == 0 {
+		return Rejected
+	}
+	if repeated := earlier[sim.storeRandom.IntN(len(earlier))]; repeated != Replaced {
+		return repeated
+	}
+	return Unresponsive
+}
+
 func (sim *simulation) targetAt(address string) int {
 	for j, target := range sim.targets {
 		if target.address == address {
@@ -531,7 +561,7 @@
 
 // heal ends all faults and restarts the VMs and targets that are down or leaving.
 func (sim *simulation) heal() {
-	sim.storeDown, sim.storeSlow, sim.slow, sim.unconfigured = false, false, false, false
+	sim.storeDown, sim.storeSlow, sim.slow, sim.unconfigured, sim.falseResponses = false, false, false, false, false
 	sim.storeCut, sim.relayCut, sim.pathCut = map[int]bool{}, map[int]bool{}, map[[2]int]bool{}
 	for i, vm := range sim.vms {
 		vm.paused = false
@@ -543,7 +573,16 @@
 		if !target.up {
 			sim.startTarget(target, true)
 		}
-		target.registered = true
+		target.registered, target.unusable = true, false
+	}
+}
+
+// restartVMs restarts the VMs that are down or have resigned.
+func (sim *simulation) restartVMs() {
+	for i, vm := range sim.vms {
+		if !vm.up || vm.leaving && vm.manager.Resigned() {
+			sim.startVM(i)
+		}
 	}
 }
 
--- a/internal/keyspace/slow_store_test.go
+++ b/internal/keyspace/slow_store_test.go
@@ -20,16 +20,12 @@
 		steps := rapid.IntRange(3, 25).Draw(t, "steps")
 		for i := 0; i < steps; i++ {
 			sim.storeSlow = true
-			sim.faultOf(t, []string{"lapse", "path", "path-all", "relay", "resign", "service", "store-cut", "vm-kill", "vm-pause"})
+			sim.faultOf(t, []string{"lapse", "path", "path-all", "relay", "resign", "service", "store-cut", "unusable", "vm-kill", "vm-pause"})
 			sim.run(time.Duration(rapid.IntRange(1, 200).Draw(t, "pause")) * 20 * time.Millisecond)
 			if sim.violation != "" {
 				t.Fatalf("after %d steps: %s", i+1, sim.violation)
 			}
-			for vm := range sim.vms {
-				if !sim.vms[vm].up || sim.vms[vm].leaving && sim.vms[vm].manager.Resigned() {
-					sim.startVM(vm)
-				}
-			}
+			sim.restartVMs()
 		}
 	})
 }
