Deliver every rejection whose request body is not read

What callers saw: uploads for which no route matches, with malformed headers, over max-body-bytes, without a key or past their deadline lost their rejection to a reset connection if they were still sending. Callers that stopped sending a small body never got it. The front of the entry role did the same.

Cause: only rejections for want of memory were followed by a read of the rest of the body. Otherwise the server closes the connection with unread bytes, at once or after 0.5 s, or waits without a bound for the rest of a small body before it responds.

Change: the mechanism moves to callerconn and both servers use it for each rejection with an unread body. The response goes first, with Connection: close and the end of the sending direction for announced bodies over 256 KiB; then up to 3 s and 64 MiB are dropped, in the front within the body timeout and in a stopping VM before its last response. If the end of the body is not reached, the connection is aborted. The duration of the request is measured before. The gateway rejects announced bodies over the limit without reading.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -136,10 +136,9 @@
 
 // serveNotFound rejects requests whose path or method the API does not define.
 func (f *Front) serveNotFound(w http.ResponseWriter, r *http.Request) {
-	e := exchange{front: f, w: w, r: r}
-	e.skipBody()
-	f.writeResponse(w, r, parsedRequest{}, errorResponse(result.BadRequest, parsedRequest{}, false),
-		"no such path or method")
+	e := f.newExchange(w, r)
+	e.respond(errorResponse(result.BadRequest, parsedRequest{}, false), "no such path or method")
+	e.discardBody()
 }
 
 // Address returns the address for callers, host:port.
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -5,14 +5,12 @@
 	"net/http"
 	"time"
 
+	"github.com/tarragonpoint/tarragonpoint/internal/callerconn"
 	"github.com/tarragonpoint/tarragonpoint/internal/dispatch"
 	"github.com/tarragonpoint/tarragonpoint/internal/logging"
 	"github.com/tarragonpoint/tarragonpoint/internal/result"
 )
 
-// smallBodyBytes is the size, in bytes, of the largest unread body for which a rejected caller keeps its connection.
-const smallBodyBytes = 16 << 10
-
 const (
 	// headerFraming is the number of bytes of ": " and CRLF in a header line.
 	headerFraming = 4
@@ -30,22 +28,30 @@
 	// hasID is true if the caller sent a request ID, even a malformed one.
 	hasID bool
 	body  bodyBuffer
+	// received is when the request's header had been read.
+	received time.Time
+	// isUnread is true while the body has not been read to its end.
+	isUnread bool
+}
+
+func (f *Front) newExchange(w http.ResponseWriter, r *http.Request) exchange {
+	return exchange{front: f, w: w, r: r, hasID: len(r.Header.Values(HeaderRequestID)) > 0, received: time.Now(),
+		body: bodyBuffer{memory: f.memory, limit: f.settings.MaxBodyBytes}, isUnread: r.ContentLength != 0}
 }
 
 // serveRequest serves /v1/{service}/* for every method.
 func (f *Front) serveRequest(w http.ResponseWriter, r *http.Request) {
-	e := exchange{front: f, w: w, r: r, hasID: len(r.Header.Values(HeaderRequestID)) > 0,
-		body: bodyBuffer{memory: f.memory, limit: f.settings.MaxBodyBytes}}
+	e := f.newExchange(w, r)
 	defer e.body.release()
-	received := time.Now()
-	response, detail := e.run(received)
-	f.writeResponse(w, r, e.parsed, response, detail)
+	response, detail := e.run()
+	e.respond(response, detail)
 	f.settings.OnCompleted(CompletedRequest{Preview: e.parsed.preview, Code: response.Code, Outcome: response.Outcome,
-		Duration: time.Since(received)})
+		Duration: time.Since(e.received)})
+	e.discardBody()
 }
 
 // run returns the response and, for a malformed request, a detail that names the invalid part.
-func (e *exchange) run(received time.Time) (response dispatch.Response, detail string) {
+func (e *exchange) run() (response dispatch.Response, detail string) {
 	defer func() {
 		if failure := recover(); failure != nil {
 			e.front.settings.Log.Error("The request handler panicked. The caller received an error response.",
@@ -59,12 +65,10 @@
 		return e.rejectLargeHeader(), fmt.Sprintf("the header has about %d bytes, want at most %d", size,
 			e.front.settings.MaxHeaderBytes)
 	}
-	if e.parsed, err = parseRequest(e.r, received); err != nil {
-		e.skipBody()
+	if e.parsed, err = parseRequest(e.r, e.received); err != nil {
 		return errorResponse(result.BadRequest, e.parsed, e.hasID), errorDetail(err)
 	}
 	if rejection := e.front.settings.Handler.Precheck(e.r.Context(), e.parsed.preview); rejection != nil {
-		e.skipBody()
 		return *rejection, ""
 	}
 	deadline := e.deadline()
@@ -106,7 +110,7 @@
 // readBody reads the body within the body timeout and the deadline.
 func (e *exchange) readBody(deadline time.Time) ([]byte, error) {
 	control := http.NewResponseController(e.w)
-	limit := e.parsed.preview.Received.Add(e.front.settings.BodyTimeout)
+	limit := e.bodyDeadline()
 	if deadline.Before(limit) {
 		limit = deadline
 	}
@@ -122,6 +126,7 @@
 	if err = control.SetReadDeadline(time.Time{}); err != nil {
 		return nil, ErrBodyIncomplete.Wrap(err, "the read deadline of the connection cannot be cleared")
 	}
+	e.isUnread = false
 	return body, nil
 }
 
@@ -139,22 +144,28 @@
 	return errorResponse(code, e.parsed, e.hasID)
 }
 
-// skipBody closes the connection after the response unless the unread body is small enough for net/http to discard it.
-func (e *exchange) skipBody() {
-	if e.r.ContentLength < 0 || e.r.ContentLength > smallBodyBytes {
-		e.closeConnection()
+// bodyDeadline returns the end of the time in which the caller must have sent its body.
+func (e *exchange) bodyDeadline() time.Time { return e.received.Add(e.front.settings.BodyTimeout) }
+
+// respond writes the response, without waiting for the rest of the body.
+func (e *exchange) respond(response dispatch.Response, detail string) {
+	if e.isUnread {
+		callerconn.PrepareEarly(e.w, e.r)
 	}
+	e.front.writeResponse(e.w, e.r, e.parsed, response, detail)
 }
 
-// closeConnection closes the connection after the response. The read deadline keeps net/http from waiting for the rest
-// of the body.
-func (e *exchange) closeConnection() {
-	e.w.Header().Set("Connection", "close")
-	if err := http.NewResponseController(e.w).SetReadDeadline(time.Now()); err != nil {
-		e.front.settings.Log.Warn("The read deadline of a connection cannot be set.")
+// discardBody reads the rest of a rejected request's body, or aborts the connection if that takes too long.
+func (e *exchange) discardBody() {
+	e.body.release()
+	if e.isUnread && !callerconn.DiscardBody(e.w, e.r, time.Until(e.bodyDeadline())) {
+		panic(http.ErrAbortHandler)
 	}
 }
 
+// closeConnection closes the connection after the response.
+func (e *exchange) closeConnection() { e.w.Header().Set("Connection", "close") }
+
 func (e *exchange) request(body []byte, deadline time.Time) dispatch.Request {
 	preview := e.parsed.preview
 	return dispatch.Request{
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -27,8 +26,8 @@
 	body          []byte
 	// bodyMemory is the memory that body holds until the request is finished.
 	bodyMemory *bounds.Reservation
-	// unread is the rest of a body for which there was no memory.
-	unread io.Reader
+	// isUnread is true while the body has not been read to its end.
+	isUnread bool
 	// route and service are resolved again before each attempt with the configuration of that moment.
 	route   *fleet.Route
 	version uint64
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -28,8 +28,6 @@
 	// bodyRetryAfter is the retry delay sent to the caller of a request for whose body there is no memory. Other large
 	// requests end within about that time.
 	bodyRetryAfter = time.Second
-	// discardTimeout bounds the time to read the rest of such a body. Callers stop sending once they have the response.
-	discardTimeout = 3 * time.Second
 	// headerTimeout bounds the time to read a header. Configurations set about 3 s.
 	headerTimeout = 5 * time.Second
 	// idleTimeout is how long an idle connection of a caller is kept. It must exceed the configuration's limit, because
@@ -43,6 +41,7 @@
 func (g *gateway) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	caller, stopWatch := watchCaller(request.Context(), g.clock.Now)
 	j := &job{arrived: g.clock.Now(), request: request, caller: caller, uri: requestURI(request)}
+	j.isUnread = request.ContentLength != 0
 	j.path, _, _ = strings.Cut(j.uri, "?")
 	callerHeaders, err := platform.ParseCallerHeaders(request.Header)
 	j.callerHeaders = callerHeaders
@@ -54,16 +53,14 @@
 		response = g.serve(w, j)
 	}
 	stopWatch()
-	if j.unread != nil {
-		// Without it the server reads a part of the body before it sends the response.
-		_ = http.NewResponseController(w).EnableFullDuplex()
+	if j.isUnread {
+		callerconn.PrepareEarly(w, request)
 	}
 	err = g.write(w, j, response)
-	g.discardBody(w, j)
 	response.targetResponse.Release()
 	j.bodyMemory.Release()
 	g.finish(j, response)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	if errors.Is(err, os.ErrDeadlineExceeded) || j.isUnread && !callerconn.DiscardBody(w, request, g.discardTimeout()) {
 		// Otherwise the server would keep the connection for the caller's next request.
 		panic(http.ErrAbortHandler)
 	}
@@ -102,8 +99,11 @@
 	if j.request.ContentLength == 0 {
 		return callerResponse{}, true
 	}
+	if j.request.ContentLength > limit {
+		return reject(result.BodyTooLarge, "body exceeds the limit", 0), false
+	}
 	body := http.MaxBytesReader(w, j.request.Body, limit)
-	read, reserved, err := g.readAll(body, j.request.ContentLength, limit)
+	read, reserved, err := g.readAll(body, j.request.ContentLength)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -111,32 +111,26 @@
 	case errors.Is(err, bounds.ErrTooLong):
 		rejected := reject(result.Overloaded, "no memory for the body", bodyRetryAfter)
 		rejected.err = err
-		j.unread = body
 		return rejected, false
 	case err != nil:
 		rejected := reject(result.BadRequest, "body is incomplete", 0)
 		rejected.err = err
 		return rejected, false
 	}
-	j.body, j.bodyMemory = read, reserved
+	j.body, j.bodyMemory, j.isUnread = read, reserved, false
 	return callerResponse{}, true
 }
 
-// discardBody reads the rest of a rejected request's body. Otherwise the connection would be reset while the caller sends,
-// and the caller might lose the response.
-func (g *gateway) discardBody(w http.ResponseWriter, j *job) {
-	if j.unread == nil {
-		return
+// discardTimeout returns the time to read the rest of a rejected request's body. It ends before this VM stops.
+func (g *gateway) discardTimeout() time.Duration {
+	if end, stopping := g.lastDeadline(); stopping {
+		return min(callerconn.DiscardTimeout, end.Sub(g.clock.Now()))
 	}
-	control := http.NewResponseController(w)
-	_ = control.Flush()
-	_ = control.SetReadDeadline(time.Now().Add(discardTimeout))
-	// A caller that stops sending has got its response.
-	_, _ = io.Copy(io.Discard, j.unread)
+	return callerconn.DiscardTimeout
 }
 
-func (g *gateway) readAll(body io.Reader, length, limit int64) ([]byte, *bounds.Reservation, error) {
-	if length > 0 && length <= limit {
+func (g *gateway) readAll(body io.Reader, length int64) ([]byte, *bounds.Reservation, error) {
+	if length > 0 {
 		return g.callerBodies.ReadSized(body, length)
 	}
 	return g.callerBodies.ReadAll(body)
