Keep children from holding an address that was found free

Cause: a port is listened on and closed to see that it is free. A child that is forked meanwhile, for example by a cluster of another test, holds a copy of the listener until it executes its program. Until then the address accepts connections, which are reset afterwards, and the process that is to listen on it cannot.

Change: no child is forked while the listener is open (syscall.ForkLock).

--- a/internal/testbed/ports.go
+++ b/internal/testbed/ports.go
@@ -6,6 +6,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"syscall"
 )
 
 const (
@@ -81,6 +82,10 @@
 	if p.used[address] {
 		return false
 	}
+	// A child process that is forked while the listener is open holds a copy of it until it executes its program, and the
+	// address would accept connections until then.
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return false
