--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -78,6 +78,8 @@
 	ReplaceClosed bool
 	// Matches reports whether a response with this head belongs to the request; nil accepts all responses.
 	Matches func(head Head) bool
+	// NoSkip ends the request with ErrMalformed at a response that does not belong to it, without waiting for another one.
+	NoSkip bool
 }
 
 // Head is the head of a response, before it is known to which request the response belongs.
@@ -255,7 +257,7 @@
 			return response, keep && stale == 0 && !request.OwnConnection, nil
 		}
 		response.Release()
-		if stale >= maxStaleResponses || !keep {
+		if stale >= maxStaleResponses || !keep || request.NoSkip {
 			return nil, false, ErrMalformed.New("response with status %d belongs to another request", response.Status)
 		}
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -139,6 +139,30 @@
 	assert.Zero(t, response.ConnectionID)
 }
 
+// Guards against a request that waits for another response, although it must not skip one that does not belong to it, and
+// against the use of its connection afterwards.
+func TestNoSkipEndsAtUnmatchedResponse(t *testing.T) {
+	other := strings.ReplaceAll(okResponse, "Id: 1", "Id: 9")
+	address := serveRaw(t, func(socket net.Conn, reader *bufio.Reader, number int) {
+		texts := []string{okResponse, other}
+		if number == 2 {
+			texts = []string{okResponse}
+		}
+		respondWith(texts...)(socket, reader, number)
+	})
+	pool := NewPool(Options{})
+	request := get("1")
+	request.NoSkip, request.ReplaceClosed = true, true
+	_, err := do(t, pool, address, request)
+	require.NoError(t, err)
+	_, err = do(t, pool, address, request)
+	assert.True(t, errorx.IsOfType(err, ErrMalformed), "%v", err)
+	assert.False(t, pool.HasIdle(address))
+	_, err = do(t, pool, address, request)
+	require.NoError(t, err)
+	assert.Equal(t, Counters{Opened: 2, Reused: 1}, pool.Counters())
+}
+
 // Bytes after a complete response belong to no request: the connection is not reused.
 func TestExtraBytesEndTheConnection(t *testing.T) {
 	address := serveRaw(t, respondWith(okResponse+okResponse, okResponse))
