Count a rejected grant as possibly in force

What callers see: two targets may hold the same keys (OWNER). A target executes a grant, but the leader gets a 4xx or 5xx for it, and after three of them gives the keys to another target while the first holds them.

Cause: the outcome Rejected did not extend the hold of the target. Its status may be a copy of the response to an earlier command, because responses to commands do not identify their command, or come from a process in between.

Evidence: TestGrantMayHaveTakenEffectUnlessNothingWasSent failed before the change for this outcome only: "expected: false, actual: true, refused" (outcome_test.go:54, holdEnded right after the grant).

Change: Outcome.mayHaveTakenEffect states the class once: every outcome except NotSent, Disconnected and Replaced. GrantEnded extends the hold by it. TestReleaseEndsOwnershipOnlyIfProven keeps that only Done and Replaced end an ownership after a release; it passed before.

--- a/internal/keyspace/event.go
+++ b/internal/keyspace/event.go
@@ -76,12 +76,19 @@
 	NotSent
 	// Unresponsive means that no response arrived: the command may have been executed or may still be executed later.
 	Unresponsive
-	// Replaced means that another target responded at the address, so the addressed target has terminated.
+	// Replaced means that another target provably responded at the address, so the addressed target has terminated.
 	Replaced
 	// Disconnected means that a renewal was not sent because its connection is no longer open.
 	Disconnected
 )
 
+// mayHaveTakenEffect reports whether a command with this outcome may have been executed, or may be executed later. That holds
+// for every command that was sent, unless its target has terminated: a rejection may be a copy of the response to an earlier
+// command, or come from a process in between.
+func (o Outcome) mayHaveTakenEffect() bool {
+	return o != NotSent && o != Disconnected && o != Replaced
+}
+
 // String returns the outcome's name for logs.
 func (o Outcome) String() string {
 	return [...]string{"done", "fenced", "refused", "not-sent", "silent", "replaced", "disconnected"}[o]
--- a/internal/keyspace/manager.go
+++ b/internal/keyspace/manager.go
@@ -410,8 +410,7 @@
 	if m.grantsInFlight[incarnation] <= 0 {
 		delete(m.grantsInFlight, incarnation)
 	}
-	// A rejection as fenced may be a copy of an earlier response, so the grant may have taken effect all the same.
-	if outcome == Done || outcome == Unresponsive || outcome == Fenced {
+	if outcome.mayHaveTakenEffect() {
 		m.extendHold(incarnation, now.Add(m.settings.holdBound()))
 	}
 	if outcome == Replaced {
--- a/internal/keyspace/outcome_test.go
+++ b/internal/keyspace/outcome_test.go
@@ -6,6 +6,9 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/tarragonpoint/tarragonpoint/internal/fleet"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
 )
 
 // Guards against keys that stay with a terminated target: a 421 that proves nothing ends a grant without a response, so the
@@ -35,3 +38,41 @@
 	require.Fail(t, "no grant is due")
 	return Command{}
 }
+
+// Guards against two holders of a key: a rejection of a grant with any status may be a copy of an earlier response or come from
+// another process, so the target may hold the keys until the grant expires.
+func TestGrantMayHaveTakenEffectUnlessNothingWasSent(t *testing.T) {
+	ended := map[Outcome]bool{NotSent: true, Disconnected: true, Replaced: true}
+	for _, outcome := range []Outcome{Done, Fenced, Rejected, NotSent, Unresponsive, Replaced, Disconnected} {
+		sim := newSimulation(1, 1, 2)
+		sim.run(time.Second)
+		m := sim.vms[0].manager
+		owner := m.table.Ranges[0].Owner
+		m.holdUntil = map[fleet.Incarnation]model.Instant{}
+		m.grantsInFlight = map[fleet.Incarnation]int{owner.Incarnation: 1}
+		m.GrantEnded(sim.now, Command{Kind: GrantKeys, Target: owner}, outcome, 0)
+		assert.Equal(t, ended[outcome], m.holdEnded(sim.now, owner.Incarnation), "%s", outcome)
+		assert.True(t, m.holdEnded(sim.now.Add(sim.settings.holdBound()), owner.Incarnation), "%s", outcome)
+	}
+}
+
+// Guards against two holders of a key: only the response of the addressed target to a release, or the proof that the target has
+// terminated, ends its ownership of the keys.
+func TestReleaseEndsOwnershipOnlyIfProven(t *testing.T) {
+	ends := map[Outcome]bool{Done: true, Replaced: true}
+	for _, outcome := range []Outcome{Done, Fenced, Rejected, NotSent, Unresponsive, Replaced, Disconnected} {
+		sim := newSimulation(1, 1, 2)
+		sim.run(time.Second)
+		m := sim.vms[0].manager
+		r := &m.table.Ranges[0]
+		previous := m.table.Ranges[1].Owner
+		require.NotEqual(t, r.Owner, previous)
+		r.Previous = []Holder{previous}
+		m.extendHold(previous.Incarnation, sim.now.Add(sim.settings.holdBound()))
+		command := Command{
+			Kind: ReleaseKeys, Service: r.Service, Target: previous, From: r.From, To: r.To, Fence: r.Fence, recordFence: r.Fence,
+		}
+		m.ReleaseEnded(sim.now, command, outcome, "")
+		assert.Equal(t, ends[outcome], m.previousReleased(sim.now, r, m.stateOf(r)), "%s", outcome)
+	}
+}
