Wait until an unanswered grant can no longer be delivered

Cause: a grant without a response counted as delivered 0.2 s after its time-out. A saturated link delivers it seconds later, and its hold begins with its arrival, while the next owner got the keys once the hold, counted from the time-out, had ended.

Change: after an unanswered grant the hold of its target counts from when a target in the same region responds to a command that was sent after the grant had ended: messages on a path are delivered in order, so the grant has been delivered by then. Without such a response it counts from 12 s after the grant. A silent target whose region responds loses its keys as before; a resigning leader passes on what may still be on its way.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -194,7 +194,7 @@
 		for _, entry := range c.gw.state.service(now, name) {
 			view.Candidates = append(view.Candidates, keyspace.Candidate{
 				Holder:  keyspace.Holder{Incarnation: entry.Target.Incarnation(), Address: entry.Target.Address},
-				Service: name, Weight: float64(entry.Target.Slots),
+				Service: name, Weight: float64(entry.Target.Slots), Region: entry.Target.Region,
 				Usable: !entry.Leaving && entry.State != registry.Cold,
 			})
 		}
--- a/internal/keyspace/event.go
+++ b/internal/keyspace/event.go
@@ -49,6 +49,8 @@
 
 	// recordFence is the fence of the range in the table. Fence is never below it.
 	recordFence uint64
+	// issuedAt is when the state machine requested the command, which is sent no earlier.
+	issuedAt model.Instant
 }
 
 // UnreleasedHolder states why a previous holder of a range can no longer hold it, although it did not release it.
@@ -127,6 +129,11 @@
 	AppendConflict
 )
 
+// responded reports whether the outcome shows that a response to the command arrived.
+func (o Outcome) responded() bool {
+	return o == Done || o == Fenced || o == Rejected || o == Replaced
+}
+
 // Settings holds the durations, limits and thresholds of the state machine.
 type Settings struct {
 	// Hold is the validity of a grant. It bounds how long the keys of a target that fails without notice are unserved.
@@ -149,6 +156,9 @@
 	UnresponsiveCooldown time.Duration
 	// Margin covers the delivery time of a command and the granularity of timers.
 	Margin time.Duration
+	// MaxDelivery is how long a grant that got no response may be on its way, as on a saturated link, unless a target in the
+	// region of its target responds to a later command.
+	MaxDelivery time.Duration
 	// MaxConcurrentMoves bounds the ranges of a service that are being moved at the same time to balance load, unless
 	// MovingShare allows more.
 	MaxConcurrentMoves int
@@ -179,6 +189,7 @@
 		ClockDriftFactor:     1.02,
 		UnresponsiveCooldown: 15 * time.Second,
 		Margin:               200 * time.Millisecond,
+		MaxDelivery:          12 * time.Second,
 		MaxConcurrentMoves:   6,
 		MovingShare:          1.0 / 6,
 		MaxRanges:            8,
--- a/internal/keyspace/manager.go
+++ b/internal/keyspace/manager.go
@@ -79,6 +79,10 @@
 	commandStates map[rangeID]*commandState
 	// holdUntil maps each incarnation to the time until which its grants may be valid.
 	holdUntil map[fleet.Incarnation]model.Instant
+	// unanswered maps the incarnations that may be sent a grant late to when the last grant without a response ended.
+	unanswered map[fleet.Incarnation]model.Instant
+	// regions holds the region of each incarnation that was ever registered.
+	regions map[fleet.Incarnation]model.Region
 	// lastGrants holds the end of the last grant to each incarnation, for logs.
 	lastGrants map[fleet.Incarnation]endedGrant
 	// unresponsive maps the incarnations that get no grants after repeated failures to the time of the last failure.
@@ -102,7 +106,8 @@
 		settings: settings, self: self, address: address, random: random, table: &Table{}, incarnations: incarnationsByID{},
 		loads: map[model.Service]*Load{}, commandStates: map[rangeID]*commandState{},
 		holdUntil: map[fleet.Incarnation]model.Instant{}, unresponsive: map[fleet.Incarnation]model.Instant{},
-		lastGrants:     map[fleet.Incarnation]endedGrant{},
+		lastGrants: map[fleet.Incarnation]endedGrant{}, unanswered: map[fleet.Incarnation]model.Instant{},
+		regions:        map[fleet.Incarnation]model.Region{},
 		terminated:     map[fleet.Incarnation]model.Instant{},
 		grantsInFlight: map[fleet.Incarnation]int{},
 	}
@@ -134,6 +139,7 @@
 	for i := range view.Candidates {
 		incarnation := view.Candidates[i].Incarnation
 		m.incarnations[incarnation.ID] = incarnation
+		m.regions[incarnation] = view.Candidates[i].Region
 	}
 }
 
@@ -268,6 +274,9 @@
 	if m.IsLeader(now) {
 		commands = m.stepCommands(now, commands)
 	}
+	for i := range commands {
+		commands[i].issuedAt = now
+	}
 	if command, due := m.stepTable(now); due {
 		commands = append(commands, command)
 	}
@@ -360,7 +369,41 @@
 	if _, terminated := m.terminated[incarnation]; terminated {
 		return true
 	}
-	return m.grantsInFlight[incarnation] == 0 && now >= m.holdUntil[incarnation]
+	return m.grantsInFlight[incarnation] == 0 && now >= m.holdEnd(incarnation)
+}
+
+// holdEnd returns when all grants to an incarnation have expired, apart from grants in flight.
+func (m *Manager) holdEnd(incarnation fleet.Incarnation) model.Instant {
+	end := m.holdUntil[incarnation]
+	if ended, unanswered := m.unanswered[incarnation]; unanswered {
+		end = max(end, ended.Add(m.settings.MaxDelivery+m.settings.holdBound()))
+	}
+	return end
+}
+
+// recordResponse notes the response to a command, if there was one. Messages on a path are delivered in order, so all grants
+// to the target's region that had ended when the command was issued have been delivered.
+func (m *Manager) recordResponse(now model.Instant, command Command, outcome Outcome) {
+	if !outcome.responded() {
+		return
+	}
+	region := m.regions[command.Target.Incarnation]
+	for incarnation, ended := range m.unanswered {
+		samePath := incarnation == command.Target.Incarnation || region != "" && m.regions[incarnation] == region
+		if samePath && ended <= command.issuedAt {
+			delete(m.unanswered, incarnation)
+			m.extendHold(incarnation, now.Add(m.settings.holdBound()))
+		}
+	}
+}
+
+// undeliveredUntil returns the time until which any unanswered grant of this process may be delivered; 0 if there is none.
+func (m *Manager) undeliveredUntil() model.Instant {
+	until := model.Instant(0)
+	for _, ended := range m.unanswered {
+		until = max(until, ended.Add(m.settings.MaxDelivery))
+	}
+	return until
 }
 
 func (m *Manager) stepReleases(now model.Instant, r *Range, state *commandState, commands []Command) []Command {
@@ -411,8 +454,8 @@
 			continue
 		}
 		holder := UnreleasedHolder{Target: incarnation.ID, Terminated: m.isTerminated(incarnation)}
-		if until, counted := m.holdUntil[incarnation]; counted {
-			holder.HoldEnded = now.Sub(until)
+		if end := m.holdEnd(incarnation); end != 0 {
+			holder.HoldEnded = now.Sub(end)
 		}
 		if last, granted := m.lastGrants[incarnation]; granted {
 			holder.Granted, holder.LastGrant, holder.LastGrantAge = true, last.outcome, now.Sub(last.at)
@@ -445,6 +488,12 @@
 			delete(m.unresponsive, incarnation)
 		}
 	}
+	for incarnation, ended := range m.unanswered {
+		if now.Sub(ended) >= m.settings.MaxDelivery {
+			delete(m.unanswered, incarnation)
+			m.extendHold(incarnation, ended.Add(m.settings.MaxDelivery+m.settings.holdBound()))
+		}
+	}
 	for incarnation, since := range m.terminated {
 		if now.Sub(since) >= terminatedRetention {
 			delete(m.terminated, incarnation)
@@ -476,6 +525,10 @@
 	if outcome.mayHaveTakenEffect() {
 		m.extendHold(incarnation, now.Add(m.settings.holdBound()))
 	}
+	if outcome == Unresponsive {
+		m.unanswered[incarnation] = now
+	}
+	m.recordResponse(now, command, outcome)
 	if outcome == Replaced {
 		m.terminated[incarnation] = now
 	}
@@ -549,6 +602,7 @@
 
 // ReleaseEnded reports the outcome of a release.
 func (m *Manager) ReleaseEnded(now model.Instant, command Command, outcome Outcome, handover string) {
+	m.recordResponse(now, command, outcome)
 	r := m.find(command)
 	if r == nil {
 		return
--- a/internal/keyspace/outcome_test.go
+++ b/internal/keyspace/outcome_test.go
@@ -52,7 +52,12 @@
 		m.grantsInFlight = map[fleet.Incarnation]int{owner.Incarnation: 1}
 		m.GrantEnded(sim.now, Command{Kind: GrantKeys, Target: owner}, outcome, 0)
 		assert.Equal(t, ended[outcome], m.holdEnded(sim.now, owner.Incarnation), "%s", outcome)
-		assert.True(t, m.holdEnded(sim.now.Add(sim.settings.holdBound()), owner.Incarnation), "%s", outcome)
+		end := sim.now.Add(sim.settings.holdBound())
+		if outcome == Unresponsive {
+			assert.False(t, m.holdEnded(end, owner.Incarnation), "the grant may still be on its way")
+			end = end.Add(sim.settings.MaxDelivery)
+		}
+		assert.True(t, m.holdEnded(end, owner.Incarnation), "%s", outcome)
 	}
 }
 
--- a/internal/keyspace/plan.go
+++ b/internal/keyspace/plan.go
@@ -82,15 +82,15 @@
 	return draft
 }
 
-// planResignation returns the table with which this process gives up leadership. It states for how long leaders before this
-// one may make grants, because the next leader trusts that a resigned leader makes none.
+// planResignation returns the table with which this process gives up leadership. It states for how long grants of leaders before
+// this one and unanswered grants of its own may be delivered, because the next leader trusts that a resigned leader makes none.
 func (m *Manager) planResignation(now model.Instant) *Table {
 	if len(m.grantsInFlight) > 0 {
 		return nil
 	}
 	draft := m.draft()
 	draft.Resigned = true
-	draft.FormerGrants = max(0, m.formerGrantsUntil.Sub(now))
+	draft.FormerGrants = max(0, max(m.formerGrantsUntil, m.undeliveredUntil()).Sub(now))
 	return draft
 }
 
