Take only a response of the target for a proof of delivery

What callers could see: two targets hold the same keys (OWNER).

Cause: any response to a later command, also a rejection by a process in between or a 421 of another target, counted as proof that an unanswered grant has been delivered.

Evidence: TestOnlyResponseOfTargetProvesDelivery failed before (refused, replaced).

Change: only outcomes that the addressed target gives count. The marks are named after what they mean.

Result: the test passes. A copy of a 200 on a kept connection still counts.

--- a/internal/keyspace/congestion_test.go
+++ b/internal/keyspace/congestion_test.go
@@ -56,3 +56,21 @@
 		}
 	})
 }
+
+// Guards against two holders of a key: a rejection may come from a process in between, and a replacement from another target, so
+// neither proves that what was sent to the region before has been delivered.
+func TestOnlyResponseOfTargetProvesDelivery(t *testing.T) {
+	for outcome, proves := range map[Outcome]bool{
+		Done: true, Fenced: true, Rejected: false, NotSent: false, Unresponsive: false, Replaced: false, Disconnected: false,
+	} {
+		sim := newSimulation(14, 1, 4)
+		sim.run(2 * time.Second)
+		m := sim.vms[0].manager
+		silent, other := sim.view().Candidates[1].Holder, sim.view().Candidates[3].Holder
+		m.GrantEnded(sim.now, Command{Kind: GrantKeys, Target: silent}, Unresponsive, 0)
+		later := sim.now.Add(time.Second)
+		m.GrantEnded(later, Command{Kind: GrantKeys, Target: other, issuedAt: sim.now}, outcome, 0)
+		assert.Equal(t, proves, m.holdEnded(later.Add(sim.settings.holdBound()), silent.Incarnation), "%s", outcome)
+	}
+}
+
--- a/internal/keyspace/event.go
+++ b/internal/keyspace/event.go
@@ -115,6 +115,10 @@
 	return [...]string{"done", "fenced", "refused", "not-sent", "silent", "replaced", "disconnected"}[o]
 }
 
+// provesDelivery reports whether the outcome shows that the target got the command. Any other response may come from a process
+// in between, or from another target.
+func (o Outcome) provesDelivery() bool { return o == Done || o == Fenced }
+
 // AppendFailure is the reason why a write of the table was not confirmed.
 type AppendFailure uint8
 
@@ -129,11 +133,6 @@
 	AppendConflict
 )
 
-// responded reports whether the outcome shows that a response to the command arrived.
-func (o Outcome) responded() bool {
-	return o == Done || o == Fenced || o == Rejected || o == Replaced
-}
-
 // Settings holds the durations, limits and thresholds of the state machine.
 type Settings struct {
 	// Hold is the validity of a grant. It bounds how long the keys of a target that fails without notice are unserved.
@@ -154,7 +153,7 @@
 	ClockDriftFactor float64
 	// UnresponsiveCooldown is how long an unresponsive target gets no new keys, unless it responds to a release.
 	UnresponsiveCooldown time.Duration
-	// Margin covers the delivery time of a command and the granularity of timers.
+	// Margin covers the usual delivery time of a command and the granularity of timers.
 	Margin time.Duration
 	// MaxDelivery is how long a grant that got no response may be on its way, as on a saturated link, unless a target in the
 	// region of its target responds to a later command.
--- a/internal/keyspace/manager.go
+++ b/internal/keyspace/manager.go
@@ -79,9 +79,9 @@
 	commandStates map[rangeID]*commandState
 	// holdUntil maps each incarnation to the time until which its grants may be valid.
 	holdUntil map[fleet.Incarnation]model.Instant
-	// unanswered maps the incarnations that may be sent a grant late to when the last grant without a response ended.
-	unanswered map[fleet.Incarnation]model.Instant
-	// regions holds the region of each incarnation that was ever registered.
+	// undelivered maps the incarnations that a grant without a response may still reach to when the last such grant ended.
+	undelivered map[fleet.Incarnation]model.Instant
+	// regions holds the region of each incarnation that was registered since this process started.
 	regions map[fleet.Incarnation]model.Region
 	// lastGrants holds the end of the last grant to each incarnation, for logs.
 	lastGrants map[fleet.Incarnation]endedGrant
@@ -106,7 +106,7 @@
 		settings: settings, self: self, address: address, random: random, table: &Table{}, incarnations: incarnationsByID{},
 		loads: map[model.Service]*Load{}, commandStates: map[rangeID]*commandState{},
 		holdUntil: map[fleet.Incarnation]model.Instant{}, unresponsive: map[fleet.Incarnation]model.Instant{},
-		lastGrants: map[fleet.Incarnation]endedGrant{}, unanswered: map[fleet.Incarnation]model.Instant{},
+		lastGrants: map[fleet.Incarnation]endedGrant{}, undelivered: map[fleet.Incarnation]model.Instant{},
 		regions:        map[fleet.Incarnation]model.Region{},
 		terminated:     map[fleet.Incarnation]model.Instant{},
 		grantsInFlight: map[fleet.Incarnation]int{},
@@ -375,23 +375,23 @@
 // holdEnd returns when all grants to an incarnation have expired, apart from grants in flight.
 func (m *Manager) holdEnd(incarnation fleet.Incarnation) model.Instant {
 	end := m.holdUntil[incarnation]
-	if ended, unanswered := m.unanswered[incarnation]; unanswered {
+	if ended, found := m.undelivered[incarnation]; found {
 		end = max(end, ended.Add(m.settings.MaxDelivery+m.settings.holdBound()))
 	}
 	return end
 }
 
-// recordResponse notes the response to a command, if there was one. Messages on a path are delivered in order, so all grants
-// to the target's region that had ended when the command was issued have been delivered.
+// recordResponse notes the response to a command, if there was one. Messages from this VM to a region wait in the same queues, so
+// all grants to the target's region that had ended when the command was issued count as delivered.
 func (m *Manager) recordResponse(now model.Instant, command Command, outcome Outcome) {
-	if !outcome.responded() {
+	if !outcome.provesDelivery() {
 		return
 	}
 	region := m.regions[command.Target.Incarnation]
-	for incarnation, ended := range m.unanswered {
+	for incarnation, ended := range m.undelivered {
 		samePath := incarnation == command.Target.Incarnation || region != "" && m.regions[incarnation] == region
 		if samePath && ended <= command.issuedAt {
-			delete(m.unanswered, incarnation)
+			delete(m.undelivered, incarnation)
 			m.extendHold(incarnation, now.Add(m.settings.holdBound()))
 		}
 	}
@@ -400,7 +400,7 @@
 // undeliveredUntil returns the time until which any unanswered grant of this process may be delivered; 0 if there is none.
 func (m *Manager) undeliveredUntil() model.Instant {
 	until := model.Instant(0)
-	for _, ended := range m.unanswered {
+	for _, ended := range m.undelivered {
 		until = max(until, ended.Add(m.settings.MaxDelivery))
 	}
 	return until
@@ -488,9 +488,9 @@
 			delete(m.unresponsive, incarnation)
 		}
 	}
-	for incarnation, ended := range m.unanswered {
+	for incarnation, ended := range m.undelivered {
 		if now.Sub(ended) >= m.settings.MaxDelivery {
-			delete(m.unanswered, incarnation)
+			delete(m.undelivered, incarnation)
 			m.extendHold(incarnation, ended.Add(m.settings.MaxDelivery+m.settings.holdBound()))
 		}
 	}
@@ -526,7 +526,7 @@
 		m.extendHold(incarnation, now.Add(m.settings.holdBound()))
 	}
 	if outcome == Unresponsive {
-		m.unanswered[incarnation] = now
+		m.undelivered[incarnation] = now
 	}
 	m.recordResponse(now, command, outcome)
 	if outcome == Replaced {
