Bound the delivery of grants by what every next leader waits for

What callers could see: two targets hold the same keys (OWNER) after two changes of leaders in a row.

Cause: a resigning leader passes on up to 12 s for its unanswered grants, but the next leader does not pass that on if it is replaced, and the one after it waits 9.7 s.

Evidence: TestReplacedLeaderCoversDeliveryForItsPredecessor failed before (12 s is not less than 9.7 s).

Change: grants count as delivered after 9 s.

Result: the test passes.

--- a/internal/keyspace/congestion_test.go
+++ b/internal/keyspace/congestion_test.go
@@ -74,3 +74,10 @@
 	}
 }
 
+// Guards against two holders of a key: a leader that resigns passes on for how long its grants may be delivered, and the next
+// one may be replaced before it can pass that on. The one after that must wait as long.
+func TestReplacedLeaderCoversDeliveryForItsPredecessor(t *testing.T) {
+	settings := DefaultSettings()
+	assert.Less(t, settings.MaxDelivery, settings.contactBound())
+}
+
--- a/internal/keyspace/event.go
+++ b/internal/keyspace/event.go
@@ -156,7 +156,8 @@
 	// Margin covers the usual delivery time of a command and the granularity of timers.
 	Margin time.Duration
 	// MaxDelivery is how long a grant that got no response may be on its way, as on a saturated link, unless a target in the
-	// region of its target responds to a later command.
+	// region of its target responds to a later command. It is shorter than LeadershipTimeout plus CommandTimeout, for which
+	// a leader waits that replaces one that has not resigned, so that two changes of leaders in a row do not shorten it.
 	MaxDelivery time.Duration
 	// MaxConcurrentMoves bounds the ranges of a service that are being moved at the same time to balance load, unless
 	// MovingShare allows more.
@@ -188,7 +189,7 @@
 		ClockDriftFactor:     1.02,
 		UnresponsiveCooldown: 15 * time.Second,
 		Margin:               200 * time.Millisecond,
-		MaxDelivery:          12 * time.Second,
+		MaxDelivery:          9 * time.Second,
 		MaxConcurrentMoves:   6,
 		MovingShare:          1.0 / 6,
 		MaxRanges:            8,
