Wait for the leader whose record cannot be decoded

What callers could see: two targets hold the same keys (OWNER) during a rolling upgrade.

Cause: a VM that claims leadership after a record that it cannot decode looked only at the table before it. If that one was a resignation, it did not wait for the record's writer.

Evidence: TestClaimAfterUndecodedRecordWaitsForItsLeader failed before.

Change: a claim that does not follow the known table waits as for a leader that has not resigned.

Result: the test passes.

--- a/internal/keyspace/congestion_test.go
+++ b/internal/keyspace/congestion_test.go
@@ -81,3 +81,22 @@
 	assert.Less(t, settings.MaxDelivery, settings.contactBound())
 }
 
+// Guards against two holders of a key: a VM that claims leadership after a record that it cannot decode does not know whether the
+// leader that wrote it has resigned.
+func TestClaimAfterUndecodedRecordWaitsForItsLeader(t *testing.T) {
+	for _, undecoded := range []uint64{0, 1} {
+		sim := newSimulation(15, 1, 2)
+		sim.run(2 * time.Second)
+		resigned := sim.vms[0].manager.Table().Clone()
+		resigned.Leader, resigned.Resigned, resigned.Offset = "former", true, resigned.Offset+1
+		m := New(sim.settings, "next", "next", sim.random.Uint64)
+		m.SetView(sim.view())
+		m.SetElected(true)
+		m.TableRead(sim.now, resigned, resigned.Offset+1+undecoded)
+		commands := m.Step(sim.now)
+		require.Len(t, commands, 1)
+		m.Appended(sim.now, sim.now, commands[0].Append.Clone())
+		require.True(t, m.IsLeader(sim.now))
+		assert.Equal(t, undecoded > 0, m.FormerGrantsUntil() == sim.now.Add(sim.settings.contactBound()))
+	}
+}
--- a/internal/keyspace/manager.go
+++ b/internal/keyspace/manager.go
@@ -207,7 +207,8 @@
 		return
 	}
 	m.formerGrantsUntil = at.Add(former.FormerGrants)
-	if !former.Resigned {
+	if !former.Resigned || table.Offset != former.Offset+1 {
+		// The former leader, or one whose table could not be decoded, has not resigned.
 		m.formerGrantsUntil = at.Add(m.settings.contactBound())
 	}
 	bound := m.formerGrantsUntil.Add(m.settings.holdBound())
