Take a refused connection for a proof of delivery

What callers saw: nothing outside a test.

Cause: since an unanswered grant keeps a hold open until its region responds, a target whose process has ended waited for a response of another one, although its own host refused the next connection. That answer comes over the same path.

Evidence: TestRefusedConnectionProvesDelivery did not compile before, and with NotSent in place of the new outcome it fails. That this delay is the cause of the failed test is inferred from its code, not shown.

Change: a refused connection is an outcome of its own, which proves delivery as the responses of a target do.

--- a/internal/gateway/command_test.go
+++ b/internal/gateway/command_test.go
@@ -16,3 +16,10 @@
 		assert.Equal(t, keyspace.Unresponsive, commandOutcome(result, upstream.ErrMalformed.New("response to another command")))
 	}
 }
+
+// A refused connection shows that the target's host is reachable; a connection that cannot be opened shows nothing.
+func TestRefusedConnectionIsToldApart(t *testing.T) {
+	assert.Equal(t, keyspace.ConnectionRefused, failureOutcome(upstream.ErrRefused.New("connection refused")))
+	assert.Equal(t, keyspace.NotSent, failureOutcome(upstream.ErrNotSent.New("dial timeout")))
+	assert.Equal(t, keyspace.Disconnected, failureOutcome(upstream.ErrNotConnected.New("connection is closed")))
+}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -314,6 +314,9 @@
 	if errorx.IsOfType(err, upstream.ErrNotConnected) {
 		return keyspace.Disconnected
 	}
+	if errorx.IsOfType(err, upstream.ErrRefused) {
+		return keyspace.ConnectionRefused
+	}
 	if errorx.IsOfType(err, upstream.ErrNotSent) {
 		return keyspace.NotSent
 	}
--- a/internal/keyspace/congestion_test.go
+++ b/internal/keyspace/congestion_test.go
@@ -40,6 +40,21 @@
 	assert.Empty(t, sim.violation)
 }
 
+// Verifies that the keys of a target whose process has ended, and whose host therefore refuses connections, move after its hold,
+// although no other target of its region responds.
+func TestRefusedConnectionProvesDelivery(t *testing.T) {
+	sim := newSimulation(12, 1, 4)
+	sim.run(2 * time.Second)
+	require.Zero(t, sim.unheld())
+	m, now := sim.vms[0].manager, sim.now.Add(sim.settings.RenewEvery)
+	first := grantOf(t, m.Step(now), nil)
+	m.GrantEnded(now, first, Unresponsive, 0)
+	next := grantOf(t, m.Step(now), &first)
+	m.GrantEnded(now, next, ConnectionRefused, 0)
+	assert.False(t, m.holdEnded(now, first.Target.Incarnation))
+	assert.True(t, m.holdEnded(now.Add(sim.settings.holdBound()), first.Target.Incarnation))
+}
+
 // Verifies that no key has two holders while the links to the targets' regions are saturated from time to time.
 func TestOneHolderUnderCongestion(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -61,7 +76,8 @@
 // neither proves that what was sent to the region before has been delivered.
 func TestOnlyResponseOfTargetProvesDelivery(t *testing.T) {
 	for outcome, proves := range map[Outcome]bool{
-		Done: true, Fenced: true, Rejected: false, NotSent: false, Unresponsive: false, Replaced: false, Disconnected: false,
+		Done: true, Fenced: true, ConnectionRefused: true,
+		Rejected: false, NotSent: false, Unresponsive: false, Replaced: false, Disconnected: false,
 	} {
 		sim := newSimulation(14, 1, 4)
 		sim.run(2 * time.Second)
--- a/internal/keyspace/event.go
+++ b/internal/keyspace/event.go
@@ -101,23 +101,25 @@
 	Replaced
 	// Disconnected means that a renewal was not sent because its connection is no longer open.
 	Disconnected
+	// ConnectionRefused means that the command never left this process because the target's host refused the connection.
+	ConnectionRefused
 )
 
 // mayHaveTakenEffect reports whether a command with this outcome may have been executed, or may be executed later. That holds
 // for every command that was sent, unless its target has terminated: a rejection may be a copy of the response to an earlier
 // command, or come from a process in between.
 func (o Outcome) mayHaveTakenEffect() bool {
-	return o != NotSent && o != Disconnected && o != Replaced
+	return o != NotSent && o != Disconnected && o != ConnectionRefused && o != Replaced
 }
 
 // String returns the outcome's name for logs.
 func (o Outcome) String() string {
-	return [...]string{"done", "fenced", "refused", "not-sent", "silent", "replaced", "disconnected"}[o]
+	return [...]string{"done", "fenced", "refused", "not-sent", "silent", "replaced", "disconnected", "connection-refused"}[o]
 }
 
-// provesDelivery reports whether the outcome shows that the target got the command. Any other response may come from a process
-// in between, or from another target.
-func (o Outcome) provesDelivery() bool { return o == Done || o == Fenced }
+// provesDelivery reports whether the outcome shows that the target's host got what was sent to it. Any other response may come
+// from a process in between, or from another target.
+func (o Outcome) provesDelivery() bool { return o == Done || o == Fenced || o == ConnectionRefused }
 
 // AppendFailure is the reason why a write of the table was not confirmed.
 type AppendFailure uint8
--- a/internal/keyspace/outcome_test.go
+++ b/internal/keyspace/outcome_test.go
@@ -42,8 +42,8 @@
 // Guards against two holders of a key: a rejection of a grant with any status may be a copy of an earlier response or come from
 // another process, so the target may hold the keys until the grant expires.
 func TestGrantMayHaveTakenEffectUnlessNothingWasSent(t *testing.T) {
-	ended := map[Outcome]bool{NotSent: true, Disconnected: true, Replaced: true}
-	for _, outcome := range []Outcome{Done, Fenced, Rejected, NotSent, Unresponsive, Replaced, Disconnected} {
+	ended := map[Outcome]bool{NotSent: true, Disconnected: true, ConnectionRefused: true, Replaced: true}
+	for _, outcome := range []Outcome{Done, Fenced, Rejected, NotSent, Unresponsive, Replaced, Disconnected, ConnectionRefused} {
 		sim := newSimulation(1, 1, 2)
 		sim.run(time.Second)
 		m := sim.vms[0].manager
@@ -65,7 +65,7 @@
 // terminated, ends its ownership of the keys.
 func TestReleaseEndsOwnershipOnlyIfProven(t *testing.T) {
 	ends := map[Outcome]bool{Done: true, Replaced: true}
-	for _, outcome := range []Outcome{Done, Fenced, Rejected, NotSent, Unresponsive, Replaced, Disconnected} {
+	for _, outcome := range []Outcome{Done, Fenced, Rejected, NotSent, Unresponsive, Replaced, Disconnected, ConnectionRefused} {
 		sim := newSimulation(1, 1, 2)
 		sim.run(time.Second)
 		m := sim.vms[0].manager
--- a/internal/keyspace/simulation_test.go
+++ b/internal/keyspace/simulation_test.go
@@ -501,7 +501,7 @@
 		return Unresponsive
 	}
 	if !target.up {
-		return NotSent
+		return ConnectionRefused
 	}
 	if target.id != command.Target.Incarnation.ID {
 		return Replaced
