Log requests to cold targets with the position they rest on

The record of FAILBACK names the senders of a cold target, but no VM logs that it sends to one, under which position among the VMs, or since when it has known of the cold start, and age_ms is the age of the last registration that was passed on, which grows on a healthy link too.

A VM logs each change of its position. The lines have a budget of their own, of the size of that of failures.

Tests: TestDecisionLinesHaveTheirOwnBudget, TestColdForCountsFromTheFirstReportOfTheColdStart.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/tarragonpoint/tarragonpoint/internal/fleet"
+	"github.com/tarragonpoint/tarragonpoint/internal/logging"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
 	"github.com/tarragonpoint/tarragonpoint/internal/overload"
 	"github.com/tarragonpoint/tarragonpoint/internal/picker"
@@ -174,7 +175,11 @@
 			if unavailable = !g.acceptsRequests(chosen.target.Incarnation()); unavailable {
 				return errTargetUnavailable
 			}
-			return watch.beforeSend()
+			if err := watch.beforeSend(); err != nil {
+				return err
+			}
+			g.logColdSend(call.AttemptID, chosen.target.Incarnation(), now)
+			return nil
 		}
 		call.OnPause = func(pause time.Duration) { g.recordPause(chosen.target.Incarnation(), pause) }
 		response, err := g.targets.Do(ctx, chosen.target.Address, call)
@@ -202,6 +207,24 @@
 	return !entry.Leaving && entry.State != registry.Paused
 }
 
+// logColdSend logs a request that is about to be sent to a cold target, and what this VM's share of the target's limit rests on.
+func (g *gateway) logColdSend(requestID string, incarnation fleet.Incarnation, placedAt model.Instant) {
+	now := g.clock.Now()
+	entry, found := g.state.lookup(now, incarnation.ID)
+	if !found || entry.State != registry.Cold || entry.Target.Incarnation() != incarnation {
+		return
+	}
+	fields := []logging.Field{
+		logging.RequestID(requestID), logging.TargetID(incarnation.ID), logging.Waited(now.Sub(placedAt)),
+		logging.ColdStart(entry.ColdFor, entry.Target.ColdUntil.Sub(now)), logging.DataAge(entry.Age),
+		logging.SourceAge(g.follower(platform.TopicTargets).age(now)), logging.Name(g.leaderName()),
+	}
+	if counted := g.counted.Load(); counted != nil {
+		fields = append(fields, logging.Position(counted.VMs, counted.Rank), logging.PositionAge(now.Sub(counted.at)))
+	}
+	g.log.Part(logging.Request).Decision("sent to a cold target", fields...)
+}
+
 // attemptContext returns a context that ends at the request's deadline. When the caller disconnects, only an idempotent
 // request is canceled. Any other request that has been sent is left to complete, because a cancellation would leave its
 // outcome unknown to the target.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -184,6 +184,13 @@
 	return model.Instant(f.freshUntil.Load()).Sub(f.gw.clock.Now())
 }
 
+// age returns the time since the store or the leader last confirmed that this VM has read the whole topic.
+func (f *topicFollower) age(now model.Instant) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now.Sub(f.confirmedAt)
+}
+
 // fresh reports whether the leader relays the topic to this VM.
 func (f *topicFollower) fresh() bool { return f.freshFor() > 0 }
 
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -73,12 +73,30 @@
 }
 
 func (g *gateway) setPosition(position hub.Position) {
-	g.position.Store(&position)
+	if former := g.position.Swap(&position); former == nil || *former != position {
+		g.log.Part(logging.Peer).Event("position among the VMs changed", logging.Position(position.VMs, position.Rank),
+			logging.State(positionState(position)), logging.Name(g.leaderName()))
+	}
 	if position.Settled {
 		g.counted.Store(&countedPosition{Position: position, at: g.clock.Now()})
 	}
 }
 
+func positionState(position hub.Position) string {
+	if position.Settled {
+		return "settled"
+	}
+	return "unsettled"
+}
+
+// leaderName returns the leader in the newest assignment, or "" if there is none.
+func (g *gateway) leaderName() string {
+	if table := g.state.table.Load(); table != nil {
+		return table.Leader
+	}
+	return ""
+}
+
 // currentRank returns this VM's position for limits that are divided by rank, or nil if it may be out of date: several VMs
 // could then act under the same rank.
 func (g *gateway) currentRank(now model.Instant) *hub.Position {
--- a/internal/logging/async_test.go
+++ b/internal/logging/async_test.go
@@ -59,3 +59,18 @@
 	assert.Contains(t, output.String(), `"suppressed":1800`)
 	assert.Less(t, output.Len(), 300)
 }
+
+// Guards against lines about requests that are served as planned that displace those about failures.
+func TestDecisionLinesHaveTheirOwnBudget(t *testing.T) {
+	now := time.Unix(0, 0)
+	var output bytes.Buffer
+	log, err := New(Settings{Level: "info", Output: &output, Now: func() time.Time { return now }})
+	require.NoError(t, err)
+	part := log.Part(Request)
+	for range 10 * requestBurst {
+		part.Decision("sent")
+	}
+	assert.Equal(t, requestBurst, strings.Count(output.String(), "sent"))
+	part.Request("not served")
+	assert.Contains(t, output.String(), "not served")
+}
--- a/internal/logging/fields.go
+++ b/internal/logging/fields.go
@@ -119,6 +119,23 @@
 // DataAge is the age of the data that a decision was based on, in milliseconds.
 func DataAge(age time.Duration) Field { return Field{"age_ms", age.Milliseconds()} }
 
+// SourceAge is the time since the source of a decision's data was last known to have nothing newer, in milliseconds.
+func SourceAge(age time.Duration) Field { return Field{"source_age_ms", age.Milliseconds()} }
+
+// Position is the number of VMs among which a VM shares a common limit, followed by its rank.
+func Position(vms, rank int) Field { return Field{"position", [2]int{vms, rank}} }
+
+// PositionAge is the time since a VM received its position, in milliseconds.
+func PositionAge(age time.Duration) Field { return Field{"position_age_ms", age.Milliseconds()} }
+
+// ColdStart is the time since a VM learned of a target's cold start, followed by the time until its end, in milliseconds.
+func ColdStart(known, left time.Duration) Field {
+	return Field{"cold_ms", [2]int64{known.Milliseconds(), left.Milliseconds()}}
+}
+
+// Waited is the time between the placement of a request and its sending, in milliseconds.
+func Waited(time time.Duration) Field { return Field{"waited_ms", time.Milliseconds()} }
+
 // Elapsed is the time since a request arrived, in milliseconds.
 func Elapsed(time time.Duration) Field { return Field{"elapsed_ms", time.Milliseconds()} }
 
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -54,9 +54,10 @@
 
 // Log is the log of one process. It is safe for concurrent use.
 type Log struct {
-	base     *logrus.Logger
-	limiter  *limiter
-	requests *lineBudget
+	base      *logrus.Logger
+	limiter   *limiter
+	requests  *lineBudget
+	decisions *lineBudget
 }
 
 func formatter(asJSON bool) logrus.Formatter {
@@ -80,7 +81,7 @@
 	base.SetOutput(settings.Output)
 	base.SetLevel(level)
 	base.SetFormatter(formatter(settings.JSON))
-	return &Log{base: base, limiter: newLimiter(now), requests: newLineBudget(now)}, nil
+	return newLog(base, now), nil
 }
 
 // Discard returns a log that writes nothing.
@@ -88,7 +89,11 @@
 	base := logrus.New()
 	base.SetOutput(io.Discard)
 	base.SetLevel(logrus.PanicLevel)
-	return &Log{base: base, limiter: newLimiter(time.Now), requests: newLineBudget(time.Now)}
+	return newLog(base, time.Now)
+}
+
+func newLog(base *logrus.Logger, now func() time.Time) *Log {
+	return &Log{base: base, limiter: newLimiter(now), requests: newLineBudget(now), decisions: newLineBudget(now)}
 }
 
 // Part returns the logger of one part.
@@ -117,19 +122,27 @@
 // Event writes a line at level info about a change of cluster state that the process observed. Such changes are
 // normally rare, so each is logged even if its text repeats. They share the line budget of Request, which limits
 // bursts.
-func (l *Logger) Event(text string, fields ...Field) { l.writeBudgeted(logrus.InfoLevel, text, fields) }
+func (l *Logger) Event(text string, fields ...Field) {
+	l.writeBudgeted(l.log.requests, logrus.InfoLevel, text, fields)
+}
+
+// Decision writes a line at level info about a decision on a request that is served as planned. These lines have a budget
+// of the same size as that of Request, but of their own, so that they displace no line about a failure.
+func (l *Logger) Decision(text string, fields ...Field) {
+	l.writeBudgeted(l.log.decisions, logrus.InfoLevel, text, fields)
+}
 
 // Request writes a line at level warning about one request that was not served in time. The rate of these lines is
 // limited; a line that follows suppressed ones reports their number.
 func (l *Logger) Request(text string, fields ...Field) {
-	l.writeBudgeted(logrus.WarnLevel, text, fields)
+	l.writeBudgeted(l.log.requests, logrus.WarnLevel, text, fields)
 }
 
-func (l *Logger) writeBudgeted(level logrus.Level, text string, fields []Field) {
+func (l *Logger) writeBudgeted(budget *lineBudget, level logrus.Level, text string, fields []Field) {
 	if !l.log.base.IsLevelEnabled(level) {
 		return
 	}
-	suppressed, allowed := l.log.requests.take()
+	suppressed, allowed := budget.take()
 	if !allowed {
 		return
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -38,6 +38,8 @@
 	target fleet.Target
 	// sharedColdUntil is the end of the cold start in the last report that counted as a change, which other VMs know.
 	sharedColdUntil model.Instant
+	// coldSince is when this VM learned of the target's current cold start; 0 if there was none.
+	coldSince model.Instant
 	// readAt is when the last report of the target was read.
 	readAt model.Instant
 	// dropAt is when an expired entry is dropped; 0 if it has not expired.
@@ -109,7 +111,9 @@
 	}
 	known := r.entries[target.ID]
 	if known == nil {
-		r.entries[target.ID] = &entry{target: target, sharedColdUntil: target.ColdUntil, readAt: now}
+		known = &entry{target: target, sharedColdUntil: target.ColdUntil, readAt: now}
+		known.setColdSince(now, fleet.Target{})
+		r.entries[target.ID] = known
 		r.byService = nil
 		r.version++
 		return true
@@ -119,7 +123,9 @@
 	if known.target.Service != target.Service {
 		r.byService = nil
 	}
+	former := known.target
 	known.target = target
+	known.setColdSince(now, former)
 	known.readAt = now
 	known.dropAt = 0
 	known.failedAt = 0
@@ -130,6 +136,16 @@
 	return changed
 }
 
+// setColdSince records when a cold start became known, unless the former registration was in the same one.
+func (e *entry) setColdSince(now model.Instant, former fleet.Target) {
+	if e.target.ColdUntil <= now {
+		return
+	}
+	if former.Incarnation() != e.target.Incarnation() || former.ColdUntil <= now {
+		e.coldSince = now
+	}
+}
+
 // IsOutdated reports whether a registration is from an earlier incarnation than the known one, or from an earlier report of
 // the same incarnation.
 func (r *Registry) IsOutdated(now model.Instant, target fleet.Target) bool {
@@ -334,6 +350,8 @@
 	PauseLeft time.Duration
 	// Age is the time since the last report was read.
 	Age time.Duration
+	// ColdFor is the time since this VM learned of the target's current cold start; 0 if the target is not cold.
+	ColdFor time.Duration
 }
 
 // Lookup returns a registered target.
@@ -347,6 +365,9 @@
 
 func (r *Registry) entry(now model.Instant, e *entry) Entry {
 	entry := Entry{Target: e.target, State: r.state(now, e), Age: now.Sub(e.readAt), Leaving: r.isLeaving(e)}
+	if now < e.target.ColdUntil {
+		entry.ColdFor = now.Sub(e.coldSince)
+	}
 	if entry.State == Paused {
 		entry.PauseLeft = r.paused[e.target.Incarnation()].Sub(now)
 	}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -224,3 +224,23 @@
 	assert.Equal(t, Cold, entry.State)
 	assert.True(t, r.Report(at(8*time.Second), target("x"), 0))
 }
+
+// An operator can tell from the time for which a VM has known of a cold start whether it sent requests without that knowledge.
+func TestColdForCountsFromTheFirstReportOfTheColdStart(t *testing.T) {
+	r := newRegistry()
+	coldFor := func(after time.Duration) time.Duration {
+		entry, found := r.Lookup(at(after), "x")
+		require.True(t, found)
+		return entry.ColdFor
+	}
+	r.Report(at(0), target("x"), 3*time.Second)
+	r.Report(at(time.Second), target("x"), 2*time.Second)
+	assert.Equal(t, 2*time.Second, coldFor(2*time.Second))
+	assert.Zero(t, coldFor(4*time.Second), "not cold any more")
+	r.Report(at(5*time.Second), target("x"), 3*time.Second)
+	assert.Equal(t, time.Second, coldFor(6*time.Second), "cold again")
+	restarted := target("x")
+	restarted.StartedAtMillis++
+	r.Report(at(7*time.Second), restarted, 3*time.Second)
+	assert.Zero(t, coldFor(7*time.Second), "a new incarnation")
+}
