Let the stand-in target answer requests for another target as published

Its 421 had neither the attempt ID nor X-Tarragonpoint-Not-Executed, which the platform's targets send, so the gateway took it for a stray response and waited until the deadline.

--- a/internal/standin/platformstub/target.go
+++ b/internal/standin/platformstub/target.go
@@ -150,6 +150,10 @@
 
 func (t *Target) serve(w http.ResponseWriter, request *http.Request) {
 	if wanted := request.Header.Get("X-Tarragonpoint-Target-Instance"); wanted != "" && wanted != t.ID {
+		if id := request.Header.Get("X-Tarragonpoint-Attempt-Id"); id != "" {
+			w.Header().Set("X-Tarragonpoint-Attempt-Id", id)
+		}
+		w.Header().Set("X-Tarragonpoint-Not-Executed", "1")
 		w.Header().Set("X-Tarragonpoint-Instance-Id", t.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
