Divide common limits by leases instead of counts and ranks of VMs

Cause: a VM sent to a cold target if (rank + hash) mod VMs < 3. Each VM that comes or goes changes count and ranks, so almost every target gets three other senders, while the former three use their position until their next report, or for 1.5 s from when a late one arrived. Shares of different counts add up. The same for the burst of the retry budget, which was divided by a count that never expired. Class of the fault: a share of a common limit that rests on a view of the fleet that others do not have, and that ends on arrival time.

Change: the leader leases units and parts of the limits to VMs (internal/shares). A lease counts from the report that it answers, ends at the VM before it ends at the leader, belongs to an incarnation, and is renewed by the next leader if the VM still holds it. Position loses rank and settled; TestPositionIsSettledLate and TestRankExpires, which held them, are replaced by TestLeasesNeedAConfirmedLeader, TestLeadershipIsConfirmedByRecentCalls and the tests of internal/shares, TestRetryBurstNeedsTheNumberOfVMs by one over all VMs and restarts.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -16,6 +16,7 @@
 	"github.com/tarragonpoint/tarragonpoint/internal/picker"
 	"github.com/tarragonpoint/tarragonpoint/internal/registry"
 	"github.com/tarragonpoint/tarragonpoint/internal/result"
+	"github.com/tarragonpoint/tarragonpoint/internal/shares"
 	"github.com/tarragonpoint/tarragonpoint/internal/upstream"
 	"github.com/tarragonpoint/tarragonpoint/platform"
 )
@@ -36,7 +37,7 @@
 // idempotent request is overdue, it hedges with a second attempt in parallel; the first valid response wins.
 func (g *gateway) attempt(ctx context.Context, j *job, chosen placement) (callerResponse, bool) {
 	now := g.clock.Now()
-	if j.sends > 0 && !g.budget(j.service).Take(now, g.retryBurst()) {
+	if j.sends > 0 && !g.budget(j.service).Take(now, g.retryBurst(now)) {
 		return reject(result.Overloaded, "retry budget exhausted", overloadRetryAfter), true
 	}
 	callCtx, cancel := g.attemptContext(ctx, j, now)
@@ -146,7 +147,7 @@
 	if chosen.action != actionSend || !chosen.estimate.HasFreeSlot(chosen.target.Slots) {
 		return false
 	}
-	if !g.budget(j.service).TakePart(now, hedgeShare, g.retryBurst()) {
+	if !g.budget(j.service).TakePart(now, hedgeShare, g.retryBurst(now)) {
 		return false
 	}
 	g.metrics.hedge(string(j.service))
@@ -219,9 +220,9 @@
 		logging.ColdStart(entry.ColdFor, entry.Target.ColdUntil.Sub(now)), logging.DataAge(entry.Age),
 		logging.SourceAge(g.follower(platform.TopicTargets).age(now)), logging.Name(g.leaderName()),
 	}
-	if counted := g.counted.Load(); counted != nil {
-		fields = append(fields, logging.Position(counted.VMs, counted.Rank), logging.PositionAge(now.Sub(counted.at)))
-	}
+	group := shares.GroupOf(incarnation.ID)
+	fields = append(fields, logging.Units(g.shares.InGroup(now, group, shares.UnitsPerGroup), shares.UnitsPerGroup),
+		logging.LeaseLeft(g.shares.LeftInGroup(now, group)))
 	g.log.Part(logging.Request).Decision("sent to a cold target", fields...)
 }
 
--- a/internal/gateway/cold_fleet_test.go
+++ b/internal/gateway/cold_fleet_test.go
@@ -12,6 +12,7 @@
 	"github.com/tarragonpoint/tarragonpoint/internal/fleet"
 	"github.com/tarragonpoint/tarragonpoint/internal/hub"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/shares"
 )
 
 const (
@@ -22,12 +23,13 @@
 	coldTargets = 20
 )
 
-// coldFleet simulates VMs that send to cold targets, in virtual time: the hub of the leader and the limiter of each VM are the
-// real ones, links and processes are simulated.
+// coldFleet simulates VMs that send to cold targets, in virtual time: the hub of the leader, the leases and the limiter of each VM
+// are the real ones, links and processes are simulated.
 type coldFleet struct {
 	now    model.Instant
 	random *rand.Rand
 	vms    map[string]*coldVM
+	starts int
 	// leaders holds the server of each leader so far; the last one is the current one. One that was replaced goes on until
 	// its last confirmation by the store has expired.
 	leaders []*coldLeader
@@ -45,22 +47,31 @@
 
 // coldVM is one start of a VM.
 type coldVM struct {
-	name    string
-	limiter *coldLimiter
-	gateway *gateway
+	name, incarnation string
+	limiter           *coldLimiter
+	shares            *shares.Holder
+	// isLinked is true once the VM has sent a report to its leader.
+	isLinked bool
 	// reportAt is when the VM sends its next report, pausedUntil when it runs again, cutUntil when its link works again.
 	reportAt, pausedUntil, cutUntil model.Instant
-	// inbox holds positions that are under way, by their time of arrival.
-	inbox []arrivingPosition
+	// outbox holds reports and inbox grants that are under way, by their time of arrival.
+	outbox []arrivingReport
+	inbox  []arrivingGrant
 	// leader is the index of the leader to which the VM is connected.
 	leader int
 	// switchAt is when the VM learns of the current leader.
 	switchAt model.Instant
 }
 
-type arrivingPosition struct {
-	at       model.Instant
-	position hub.Position
+type arrivingReport struct {
+	at     model.Instant
+	leader *coldLeader
+	report hub.Report
+}
+
+type arrivingGrant struct {
+	at    model.Instant
+	grant shares.Grant
 }
 
 func newColdFleet(seed uint64, vms int) *coldFleet {
@@ -76,14 +87,16 @@
 // confirmation counts.
 func (f *coldFleet) replaceLeader(ends bool) {
 	if last := len(f.leaders) - 1; last >= 0 {
-		f.leaders[last].confirmedUntil = f.now.Add(hub.PositionTTL)
+		f.leaders[last].confirmedUntil = f.now.Add(shares.ConfirmationTTL)
 		f.leaders[last].hasEnded = ends
 	}
 	leader := &coldLeader{}
 	leader.server = hub.NewServer(
 		func() model.Instant { return f.now }, func() bool { return !leader.hasEnded },
-		func() bool { return leader.confirmedUntil == 0 || f.now < leader.confirmedUntil }, func(hub.Report) {},
+		func(now model.Instant) bool { return leader.confirmedUntil == 0 || now < leader.confirmedUntil }, func(hub.Report) {},
+		10*time.Second,
 	)
+	leader.server.BeginTerm(len(f.leaders) > 0)
 	f.leaders = append(f.leaders, leader)
 	for _, name := range f.names() {
 		f.vms[name].switchAt = f.now.Add(f.delay(time.Second))
@@ -91,8 +104,11 @@
 }
 
 func (f *coldFleet) start(name string) {
+	f.starts++
+	holder := shares.NewHolder()
 	f.vms[name] = &coldVM{
-		name: name, limiter: newColdLimiter(), gateway: &gateway{}, leader: len(f.leaders) - 1, reportAt: f.now.Add(f.delay(hub.ReportInterval)),
+		name: name, incarnation: fmt.Sprintf("%s/%d", name, f.starts), limiter: newColdLimiter(holder.InGroup), shares: holder,
+		leader: len(f.leaders) - 1, reportAt: f.now.Add(f.delay(hub.ReportInterval)),
 	}
 }
 
@@ -123,21 +139,48 @@
 			next = f.now.Add(interval/2 + f.delay(interval))
 		}
 		for _, name := range f.names() {
+			f.deliver(f.vms[name])
 			f.step(f.vms[name])
 		}
 	}
 }
 
+// deliver passes the reports of a VM that arrive now to their leaders, which respond with a grant.
+func (f *coldFleet) deliver(vm *coldVM) {
+	for len(vm.outbox) > 0 && vm.outbox[0].at <= f.now {
+		arrived := vm.outbox[0]
+		vm.outbox = vm.outbox[1:]
+		if arrived.leader.hasEnded {
+			continue
+		}
+		_, grant := arrived.leader.server.HandleOwnReport(arrived.report)
+		at := f.now.Add(f.transit())
+		if n := len(vm.inbox); n > 0 {
+			at = max(at, vm.inbox[n-1].at)
+		}
+		vm.inbox = append(vm.inbox, arrivingGrant{at: at, grant: grant})
+	}
+}
+
+// transit returns the time that a message takes, which is long for one in twenty.
+func (f *coldFleet) transit() time.Duration {
+	transit := 2*time.Millisecond + f.delay(30*time.Millisecond)
+	if f.random.IntN(20) == 0 {
+		transit += f.delay(time.Second)
+	}
+	return transit
+}
+
 func (f *coldFleet) step(vm *coldVM) {
 	if f.now < vm.pausedUntil {
 		return
 	}
 	for len(vm.inbox) > 0 && vm.inbox[0].at <= f.now {
-		vm.receive(f.now, vm.inbox[0].position)
+		vm.shares.Apply(vm.inbox[0].grant)
 		vm.inbox = vm.inbox[1:]
 	}
-	if f.now >= vm.switchAt && f.now >= vm.cutUntil {
-		vm.leader = len(f.leaders) - 1
+	if current := len(f.leaders) - 1; vm.leader != current && f.now >= vm.switchAt && f.now >= vm.cutUntil {
+		vm.leader, vm.isLinked = current, false
 	}
 	if f.now >= vm.reportAt {
 		vm.reportAt = f.now.Add(hub.ReportInterval)
@@ -150,35 +193,25 @@
 	}
 }
 
-// report sends a report of a VM to its leader, which responds with a position after a delay.
+// report sends a report of a VM to its leader.
 func (f *coldFleet) report(vm *coldVM) {
 	leader := f.leaders[vm.leader]
 	if f.now < vm.cutUntil || leader.hasEnded {
 		return
 	}
-	position := leader.server.HandleReport(vm.report(f.now))
-	delay := 2*time.Millisecond + f.delay(30*time.Millisecond)
-	if f.random.IntN(20) == 0 {
-		delay += f.delay(time.Second)
-	}
-	at := f.now.Add(delay)
-	if n := len(vm.inbox); n > 0 {
-		at = max(at, vm.inbox[n-1].at)
-	}
-	vm.inbox = append(vm.inbox, arrivingPosition{at: at, position: position})
-}
-
-func (vm *coldVM) report(model.Instant) hub.Report { return hub.Report{VM: vm.name} }
-
-func (vm *coldVM) receive(now model.Instant, position hub.Position) {
-	if position.Settled {
-		vm.gateway.counted.Store(&countedPosition{Position: position, at: now})
+	at := f.now.Add(f.transit())
+	if n := len(vm.outbox); n > 0 {
+		at = max(at, vm.outbox[n-1].at)
 	}
+	vm.outbox = append(vm.outbox, arrivingReport{at: at, leader: leader, report: hub.Report{
+		VM: vm.name, Incarnation: vm.incarnation, Shares: vm.shares.Request(f.now, !vm.isLinked),
+	}})
+	vm.isLinked = true
 }
 
 // allow reports whether the VM sends a request to a cold target now.
 func (vm *coldVM) allow(now model.Instant, target fleet.Incarnation) bool {
-	return vm.limiter.allow(now, target, coldRate, vm.gateway.currentRank(now), true)
+	return vm.limiter.allow(now, target, coldRate, true)
 }
 
 // most returns the largest number of requests that a target got in one second.
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -63,6 +63,8 @@
 	// leader is the leader in the newest table; leaderSince is when this VM first saw it there.
 	leader      string
 	leaderSince model.Instant
+	// tableLeader is the leader in the state machine's table at the last step; "" if there has never been one.
+	tableLeader string
 	// viewRefreshedAt is when the state machine last received the registry and the load.
 	viewRefreshedAt model.Instant
 	settings        keyspace.Settings
@@ -131,6 +133,12 @@
 
 func (c *controller) step(ctx context.Context) {
 	now := c.gw.clock.Now()
+	if leader := c.manager.Table().Leader; leader != c.tableLeader {
+		if leader == c.self {
+			c.gw.hub.BeginTerm(c.tableLeader != "")
+		}
+		c.tableLeader = leader
+	}
 	if c.electedUntil != 0 && now >= c.electedUntil {
 		c.electedUntil = 0
 	}
@@ -237,7 +245,7 @@
 	copied := table.Clone()
 	c.post(func(now model.Instant) { c.manager.Appended(started, now, copied) })
 	c.gw.setTable(table)
-	c.gw.follower(topicAssignment).appended(c.gw.clock.Now(), record)
+	c.gw.follower(topicAssignment).appended(started, c.gw.clock.Now(), record)
 }
 
 // appendFailure returns the failure of a write that ended with an error. Only some errors state that it was not executed.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -90,6 +90,9 @@
 	listed bool
 	// confirmedAt is when a response of the store or the leader last confirmed that the topic ends at nextOffset.
 	confirmedAt model.Instant
+	// newestAt is the start of the last call to the store that found no record after those that this VM has applied, or that
+	// appended the newest one.
+	newestAt model.Instant
 	// freshUntil is when the relayed state stops counting as up to date. It is read without the lock, because the
 	// controller's loop reads it while a follower that holds the lock may be waiting for that loop.
 	freshUntil atomic.Int64
@@ -237,7 +240,7 @@
 	defer f.mu.Unlock()
 	relayed := f.applyList(f.gw.clock.Now(), page)
 	previous := f.nextOffset
-	f.nextOffset, f.listed, f.confirmedAt = page.Next, true, f.gw.clock.Now()
+	f.nextOffset, f.listed, f.confirmedAt, f.newestAt = page.Next, true, f.gw.clock.Now(), started
 	if previous > 0 && f.gw.controller.isLeader.Load() {
 		// The store may have dropped the records in between; relaying the list keeps all VMs from listing at once.
 		f.gw.relay(f.topic, previous, page.Next, f.gw.clock.Now().Sub(started), relayed)
@@ -252,7 +255,7 @@
 	if err != nil {
 		return err
 	}
-	now := f.gw.clock.Now()
+	now, callStarted := f.gw.clock.Now(), started
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.nextOffset != next {
@@ -266,7 +269,7 @@
 	}
 	f.nextOffset = page.Next
 	if page.Next >= page.End {
-		f.confirmedAt = now
+		f.confirmedAt, f.newestAt = now, callStarted
 	}
 	if f.gw.controller.isLeader.Load() {
 		f.gw.relay(f.topic, next, page.Next, f.gw.clock.Now().Sub(started), relayed)
@@ -277,8 +280,8 @@
 	return nil
 }
 
-// appended applies a record that this VM wrote, and relays it without reading it back.
-func (f *topicFollower) appended(now model.Instant, record platform.Record) {
+// appended applies a record that this VM wrote in a call that began at started, and relays it without reading it back.
+func (f *topicFollower) appended(started, now model.Instant, record platform.Record) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.listed || f.nextOffset != record.Offset {
@@ -286,7 +289,7 @@
 		return
 	}
 	relayed := f.applyRecords(now, []platform.Record{record})
-	f.nextOffset, f.confirmedAt = record.Offset+1, now
+	f.nextOffset, f.confirmedAt, f.newestAt = record.Offset+1, now, started
 	if f.gw.controller.isLeader.Load() {
 		f.gw.relay(f.topic, record.Offset, f.nextOffset, 0, relayed)
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -60,7 +60,7 @@
 	}
 	f.gateway = f.startVM("vm-1")
 	// Until then the VM has no share of the burst of the retry budget.
-	require.Eventually(t, func() bool { return f.gateway.counted.Load() != nil }, settleTime, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return f.gateway.retryBurst(f.gateway.clock.Now()) > 0 }, settleTime, 10*time.Millisecond)
 	return f
 }
 
@@ -469,9 +469,9 @@
 	raw, err := (&keyspace.Table{Leader: "vm-1/x"}).Encode()
 	require.NoError(t, err)
 	follower.listed, follower.nextOffset, follower.confirmedAt = true, 5, g.clock.Now()
-	follower.appended(g.clock.Now(), platform.Record{Key: keyAssignment, Value: raw, Offset: 5})
+	follower.appended(g.clock.Now(), g.clock.Now(), platform.Record{Key: keyAssignment, Value: raw, Offset: 5})
 	require.EqualValues(t, 6, follower.nextOffset)
 	require.EqualValues(t, 5, g.state.table.Load().Offset)
-	follower.appended(g.clock.Now(), platform.Record{Key: keyAssignment, Value: raw, Offset: 9})
+	follower.appended(g.clock.Now(), g.clock.Now(), platform.Record{Key: keyAssignment, Value: raw, Offset: 9})
 	require.EqualValues(t, 6, follower.nextOffset, "offsets 6 to 8 are not known yet")
 }
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -10,6 +10,7 @@
 	"github.com/tarragonpoint/tarragonpoint/internal/logging"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
 	"github.com/tarragonpoint/tarragonpoint/internal/registry"
+	"github.com/tarragonpoint/tarragonpoint/internal/shares"
 	"github.com/tarragonpoint/tarragonpoint/platform"
 )
 
@@ -18,14 +19,19 @@
 
 // followLeader keeps a link to the current leader until ctx ends.
 func (g *gateway) followLeader(ctx context.Context) {
-	disconnected := false
+	disconnected, wasLeader := false, false
 	for ctx.Err() == nil {
 		address := g.leaderAddress()
 		if address == "" {
-			g.recordOwnReport()
+			isLeader := g.controller.isLeader.Load()
+			if isLeader {
+				g.handleOwnReport(!wasLeader)
+			}
+			wasLeader = isLeader
 			sleep(ctx, hub.ReportInterval)
 			continue
 		}
+		wasLeader = false
 		client, err := g.dialLeader(ctx, address)
 		if err == nil {
 			if disconnected {
@@ -58,37 +64,21 @@
 // leaderIsRelaying reports whether the leader relays the assignment to this VM.
 func (g *gateway) leaderIsRelaying() bool { return g.follower(topicAssignment).fresh() }
 
-// recordOwnReport processes this VM's own load report if it is the leader.
-func (g *gateway) recordOwnReport() {
-	if !g.controller.isLeader.Load() {
-		return
-	}
-	g.setPosition(g.hub.HandleReport(g.report()))
-}
-
-// countedPosition is a settled position and when this VM received it.
-type countedPosition struct {
-	hub.Position
-	at model.Instant
+// handleOwnReport handles this VM's own report while it is the leader. isFirst is true for the first one of a term.
+func (g *gateway) handleOwnReport(isFirst bool) {
+	position, grant := g.hub.HandleOwnReport(g.report(isFirst))
+	g.position.Store(&position)
+	g.applyGrant(grant)
 }
 
-func (g *gateway) setPosition(position hub.Position) {
-	if former := g.position.Swap(&position); former == nil || *former != position {
-		g.log.Part(logging.Peer).Event("position among the VMs changed", logging.Position(position.VMs, position.Rank),
-			logging.State(positionState(position)), logging.Name(g.leaderName()))
-	}
-	if position.Settled {
-		g.counted.Store(&countedPosition{Position: position, at: g.clock.Now()})
+// applyGrant applies leases of this VM's shares of common limits.
+func (g *gateway) applyGrant(grant shares.Grant) {
+	if g.shares.Apply(grant) {
+		g.log.Part(logging.Peer).Event("shares of common limits changed",
+			logging.Units(g.shares.Held(g.clock.Now()), shares.Units), logging.Name(g.leaderName()))
 	}
 }
 
-func positionState(position hub.Position) string {
-	if position.Settled {
-		return "settled"
-	}
-	return "unsettled"
-}
-
 // leaderName returns the leader in the newest assignment, or "" if there is none.
 func (g *gateway) leaderName() string {
 	if table := g.state.table.Load(); table != nil {
@@ -97,30 +87,25 @@
 	return ""
 }
 
-// currentRank returns this VM's position for limits that are divided by rank, or nil if it may be out of date: several VMs
-// could then act under the same rank.
-func (g *gateway) currentRank(now model.Instant) *hub.Position {
-	counted := g.counted.Load()
-	if counted == nil || now.Sub(counted.at) > hub.PositionTTL {
-		return nil
-	}
-	return &counted.Position
-}
-
-// leadershipConfirmed reports whether the store has recently confirmed that the assignment that names this VM as the leader
-// is the newest.
-func (g *gateway) leadershipConfirmed() bool {
+// leadershipConfirmed reports whether the store has confirmed that the assignment that names this VM as the leader was the newest
+// less than shares.ConfirmationTTL before an instant.
+func (g *gateway) leadershipConfirmed(now model.Instant) bool {
 	f := g.follower(topicAssignment)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return g.clock.Now().Sub(f.confirmedAt) < hub.PositionTTL
+	table := g.state.table.Load()
+	return table != nil && table.Leader == g.controller.self && !table.Resigned && now.Sub(f.newestAt) < shares.ConfirmationTTL
 }
 
-func (g *gateway) report() hub.Report {
-	return hub.Report{
-		VM: g.settings.VM, LinkMbps: g.settings.LinkMbps, Services: g.work.take(), Failed: g.state.failedTargets(),
-		Leaving: g.state.markedLeaving(), Strikes: g.strikes.unstored(g.clock.Now()),
+// report returns this VM's next report, which must be sent at once. isFirst is true for the first one to a leader.
+func (g *gateway) report(isFirst bool) hub.Report {
+	report := hub.Report{
+		VM: g.settings.VM, Incarnation: g.controller.self, LinkMbps: g.settings.LinkMbps, Services: g.work.take(),
+		Failed: g.state.failedTargets(), Leaving: g.state.markedLeaving(), Strikes: g.strikes.unstored(g.clock.Now()),
+		Shares: g.shares.Request(g.clock.Now(), isFirst),
 	}
+	report.Shares.Ends = g.draining.Load()
+	return report
 }
 
 // handleReport processes the report of a VM while this VM is the leader.
@@ -157,7 +142,10 @@
 			return err
 		}
 		if push.Position != nil {
-			g.setPosition(*push.Position)
+			g.position.Store(push.Position)
+		}
+		if push.Shares != nil {
+			g.applyGrant(*push.Shares)
 		}
 		if push.Batch != nil {
 			g.applyBatch(push.Batch)
@@ -172,8 +160,8 @@
 func (g *gateway) sendReports(ctx context.Context, client *hub.Client, address string) {
 	ticker := time.NewTicker(hub.ReportInterval)
 	defer ticker.Stop()
-	for g.leaderAddress() == address {
-		if client.Send(ctx, g.report()) != nil {
+	for isFirst := true; g.leaderAddress() == address; isFirst = false {
+		if client.Send(ctx, g.report(isFirst)) != nil {
 			return
 		}
 		select {
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -15,8 +15,6 @@
 	loadTimeConstant = 3 * time.Second
 	// minDecayInterval is the shortest time between two decays of a load, because each decay updates all buckets.
 	minDecayInterval = 250 * time.Millisecond
-	// joinMargin is the factor by which the number of VMs may have grown since the leader counted them.
-	joinMargin = 1.25
 )
 
 // keyWork accumulates this VM's work per key bucket until it is reported to the leader.
@@ -110,14 +108,7 @@
 	return &copied
 }
 
-// retryBurst returns this VM's share of the burst of the common retry budget. It is 0 until the leader has reported the
-// number of VMs, because no share of an unknown number is known to keep the budget when all VMs have just started.
-func (g *gateway) retryBurst() float64 {
-	known := g.counted.Load()
-	if known == nil {
-		return 0
-	}
-	// VMs may have joined since the leader counted them.
-	vms := float64(known.VMs)*joinMargin + 1
-	return g.settings.RetryBurst * retryBurstFactor / vms
+// retryBurst returns this VM's part of the burst of the common retry budget.
+func (g *gateway) retryBurst(now model.Instant) float64 {
+	return g.settings.RetryBurst * retryBurstFactor * g.shares.Part(now)
 }
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -11,7 +13,9 @@
 
 	"github.com/tarragonpoint/tarragonpoint/internal/fleet"
 	"github.com/tarragonpoint/tarragonpoint/internal/hub"
+	"github.com/tarragonpoint/tarragonpoint/internal/model"
 	"github.com/tarragonpoint/tarragonpoint/internal/picker"
+	"github.com/tarragonpoint/tarragonpoint/internal/shares"
 	"github.com/tarragonpoint/tarragonpoint/internal/standin/platformstub"
 	"github.com/tarragonpoint/tarragonpoint/platform"
 )
@@ -54,33 +58,62 @@
 	}, 2*time.Second, 10*time.Millisecond)
 }
 
-// Guards against VMs that together exceed the retry budget because each assumes fewer VMs than there are: the burst is
-// shared only once the leader has reported their number.
-func TestRetryBurstNeedsTheNumberOfVMs(t *testing.T) {
+// Guards against VMs that together exceed the burst of the retry budget: what all VMs may use in one window, also those that came
+// and went in it, adds up to no more, and a VM without a lease has no share.
+func TestRetryBurstsOfAllVMsStayWithinTheBudget(t *testing.T) {
 	t.Parallel()
-	const vms = 295
-	g := &gateway{settings: Settings{RetryBurst: 630}}
-	assert.Zero(t, g.retryBurst())
-	g.counted.Store(&countedPosition{Position: hub.Position{VMs: vms}})
-	assert.Positive(t, g.retryBurst())
-	assert.LessOrEqual(t, g.retryBurst()*vms*joinMargin, g.settings.RetryBurst)
-}
-
-// Guards against more VMs that send to a cold target than may do so: after a change of the leader, VMs that still use their
-// rank under the former one, or one counted while VMs were connecting, share a rank with others.
-func TestRankExpires(t *testing.T) {
-	t.Parallel()
-	f := startFixture(t)
-	g := f.newVM("vm-2")
-	now := g.clock.Now()
-	assert.Nil(t, g.currentRank(now))
-	g.setPosition(hub.Position{VMs: 5, Rank: 2})
-	assert.Nil(t, g.currentRank(now), "VMs are still connecting to the leader")
-	g.setPosition(hub.Position{VMs: 80, Rank: 41, Settled: true})
-	assert.Equal(t, 41, g.currentRank(now).Rank)
-	g.setPosition(hub.Position{VMs: 5, Rank: 2})
-	assert.Equal(t, 41, g.currentRank(now).Rank)
-	assert.Nil(t, g.currentRank(now.Add(2*hub.PositionTTL)))
+	const vms, window = 295, 10 * time.Second
+	now := model.Instant(time.Hour)
+	allocator := shares.NewAllocator(window, rand.Uint64)
+	allocator.Begin(now, true)
+	started := 0
+	start := func() *gateway {
+		started++
+		return &gateway{
+			settings: Settings{VM: strconv.Itoa(started), RetryBurst: 630, RetryWindow: window}, shares: shares.NewHolder(),
+		}
+	}
+	all := make([]*gateway, vms)
+	for i := range all {
+		all[i] = start()
+	}
+	// used holds, for each start of a VM, when it last had which share.
+	type use struct {
+		at    model.Instant
+		share float64
+	}
+	used := map[string][]use{}
+	play := func(length time.Duration, restarts int) (inWindow float64) {
+		for end := now.Add(length); now < end; now = now.Add(hub.ReportInterval) {
+			for range restarts {
+				all[rand.IntN(vms)] = start()
+			}
+			for _, g := range all {
+				g.shares.Apply(allocator.Renew(now, g.settings.VM, g.shares.Request(now, false), false))
+				if share := g.retryBurst(now); share > 0 {
+					used[g.settings.VM] = append(used[g.settings.VM], use{at: now, share: share})
+				}
+			}
+			inWindow = 0
+			for _, uses := range used {
+				largest := 0.0
+				for _, u := range uses {
+					if now.Sub(u.at) < window {
+						largest = max(largest, u.share)
+					}
+				}
+				inWindow += largest
+			}
+			require.LessOrEqual(t, inWindow, 630.0)
+		}
+		return inWindow
+	}
+	assert.Zero(t, play(15*time.Second, 0), "a former leader may have granted any part")
+	assert.Greater(t, play(10*time.Second, 0), 630.0/2)
+	assert.Greater(t, play(20*time.Second, 10), 630.0/2)
+	fresh := start()
+	fresh.shares.Apply(allocator.Renew(now, fresh.settings.VM, fresh.shares.Request(now, false), false))
+	assert.Zero(t, fresh.retryBurst(now.Add(shares.LeaseTTL)), "the lease has ended")
 }
 
 // Guards against requests that each use up the retry budget at an owner that does not hold its keys yet, as after a restart
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -151,7 +151,7 @@
 	now model.Instant, service fleet.Service, incarnation fleet.Incarnation, consume bool,
 ) bool {
 	maxRate := service.ColdRate*g.settings.ColdFactor + g.settings.ColdBurst
-	return g.cold.allow(now, incarnation, maxRate, g.currentRank(now), consume)
+	return g.cold.allow(now, incarnation, maxRate, consume)
 }
 
 // eligible returns the targets that may receive the request now. With skipTried, targets that already had an attempt
--- a/internal/gateway/reports_test.go
+++ b/internal/gateway/reports_test.go
@@ -9,8 +9,11 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/tarragonpoint/tarragonpoint/internal/keyspace"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
 	"github.com/tarragonpoint/tarragonpoint/internal/registry"
+	"github.com/tarragonpoint/tarragonpoint/internal/shares"
+	"github.com/tarragonpoint/tarragonpoint/platform"
 )
 
 // startLinkedVMs returns the leader and VMs without a link to it, with a slow link and with an ordinary one.
@@ -90,3 +93,24 @@
 	f.register("d-1", "desk", "a", "ready")
 	require.Eventually(t, stays(false), shareTime, 10*time.Millisecond)
 }
+
+// Guards against leases from a leader that may have been replaced: a confirmation by the store counts from the start of the call, and
+// only for an assignment that names this VM.
+func TestLeadershipIsConfirmedByRecentCalls(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t)
+	g := f.newVM("vm-2")
+	follower := g.follower(topicAssignment)
+	follower.listed, follower.nextOffset = true, 5
+	appended := func(leader string, ago time.Duration) bool {
+		raw, err := (&keyspace.Table{Leader: leader}).Encode()
+		require.NoError(t, err)
+		now := g.clock.Now()
+		follower.appended(now.Add(-ago), now, platform.Record{Key: keyAssignment, Value: raw, Offset: follower.nextOffset})
+		return g.leadershipConfirmed(now)
+	}
+	assert.True(t, appended(g.controller.self, 0))
+	assert.False(t, appended(g.controller.self, shares.ConfirmationTTL), "the response took long")
+	assert.True(t, appended(g.controller.self, shares.ConfirmationTTL/2))
+	assert.False(t, appended("vm-3/x", 0), "another VM leads")
+}
--- a/internal/gateway/role.go
+++ b/internal/gateway/role.go
@@ -30,6 +30,7 @@
 	"github.com/tarragonpoint/tarragonpoint/internal/picker"
 	"github.com/tarragonpoint/tarragonpoint/internal/quarantine"
 	"github.com/tarragonpoint/tarragonpoint/internal/retry"
+	"github.com/tarragonpoint/tarragonpoint/internal/shares"
 	"github.com/tarragonpoint/tarragonpoint/internal/throttle"
 	"github.com/tarragonpoint/tarragonpoint/internal/upstream"
 	"github.com/tarragonpoint/tarragonpoint/platform"
@@ -111,8 +112,8 @@
 
 	// position is this VM's position among all VMs as last reported by the leader; nil before the first report.
 	position atomic.Pointer[hub.Position]
-	// counted is the last settled position; nil before the first one.
-	counted atomic.Pointer[countedPosition]
+	// shares are the leases of this VM's shares of common limits.
+	shares *shares.Holder
 
 	budgetsMu sync.Mutex
 	budgets   map[model.Service]budget
@@ -154,13 +155,15 @@
 		store: platform.NewStore(settings.StoreAddress), targets: newTargetClient(settings.bodyMemory()),
 		state: newState(regions), picker: picker.New(rand.Float64), work: newKeyWork(),
 		dialLeader: hub.Dial, reportNow: make(chan struct{}, 1), outage: newStoreOutage(),
-		watched: newWatchList(), split: newSplitter(), cold: newColdLimiter(), deadlines: newDeadlineTracker(),
+		watched: newWatchList(), split: newSplitter(), shares: shares.NewHolder(), deadlines: newDeadlineTracker(),
 		budgets: map[model.Service]budget{}, throttle: throttle.New(), unheld: newUnheldRanges(),
 		quarantine: quarantine.New(quarantine.Options{StrikesToBlock: strikesToBlock}), strikes: newSharedStrikes(),
 		runs: quarantine.NewRuns(), callerBodies: bounds.NewBodyMemory(settings.callerBodyMemory()),
 	}
+	g.cold = newColdLimiter(g.shares.InGroup)
 	g.load = newKeyLoad(g.clock.Now)
-	g.hub = hub.NewServer(g.clock.Now, func() bool { return g.controller.isLeader.Load() }, g.leadershipConfirmed, g.handleReport)
+	g.hub = hub.NewServer(g.clock.Now, func() bool { return g.controller.isLeader.Load() }, g.leadershipConfirmed,
+		g.handleReport, settings.RetryWindow)
 	g.requestsContext, g.cancelRequests = context.WithCancel(context.Background())
 	incarnation := strconv.FormatUint(rand.Uint64(), 36)
 	g.controller = newController(g, settings.VM+"/"+incarnation)
--- a/internal/gateway/settings_test.go
+++ b/internal/gateway/settings_test.go
@@ -12,8 +12,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tarragonpoint/tarragonpoint/internal/fleet"
-	"github.com/tarragonpoint/tarragonpoint/internal/hub"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/shares"
 )
 
 const settingsFile = `vm-id front-1
@@ -82,11 +82,17 @@
 			var sent []model.Instant
 			limiters := make([]*coldLimiter, vms)
 			for i := range limiters {
-				limiters[i] = newColdLimiter()
+				limiters[i] = newColdLimiter(func(_ model.Instant, _, first int) int {
+					held := 0
+					for unit := i; unit < first; unit += vms {
+						held++
+					}
+					return held
+				})
 			}
 			for now := model.Instant(0); now < model.Instant(5*time.Second); now = now.Add(7 * time.Millisecond) {
-				for rank, limiter := range limiters {
-					if limiter.allow(now, fleet.Incarnation{ID: "cold"}, maxRate, &hub.Position{VMs: vms, Rank: rank}, true) {
+				for _, limiter := range limiters {
+					if limiter.allow(now, fleet.Incarnation{ID: "cold"}, maxRate, true) {
 						sent = append(sent, now)
 					}
 				}
@@ -101,7 +107,8 @@
 			assert.NotEmpty(t, sent, "%d VMs, bound %v", vms, maxRate)
 		}
 	}
-	assert.False(t, newColdLimiter().allow(0, fleet.Incarnation{ID: "cold"}, 13, nil, true), "a VM without a rank sends nothing")
+	withoutUnits := newColdLimiter(shares.NewHolder().InGroup)
+	assert.False(t, withoutUnits.allow(0, fleet.Incarnation{ID: "cold"}, 13, true), "a VM without a lease sends nothing")
 }
 
 // A caller's retry is recognized by its shorter deadline.
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -1,15 +1,12 @@
 package gateway
 
 import (
-	"math"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/tarragonpoint/tarragonpoint/internal/fleet"
-	"github.com/tarragonpoint/tarragonpoint/internal/hub"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/shares"
 )
 
 // splitter distributes the requests of a route among its services by smooth weighted round robin. The count of each
@@ -46,9 +43,6 @@
 }
 
 const (
-	// sendersPerColdTarget is the number of VMs that send to one cold target at a time. With more than one, the target
-	// keeps warming up when a VM fails.
-	sendersPerColdTarget = 3
 	// coldRateShare is the share of a cold target's rate limit that VMs use.
 	coldRateShare = 0.9
 	// coldSpacingFactor extends the time between two requests, because requests do not arrive at the intervals at which
@@ -57,29 +51,26 @@
 )
 
 // coldLimiter limits the rate of requests from this VM to cold targets, so that the sum over all VMs stays within the
-// targets' limits. Only a few VMs, selected by their rank, send to each cold target.
+// targets' limits. The limit of each target is divided among the VMs that hold the units of the target's group.
 type coldLimiter struct {
+	// held returns how many of the first units of a group this VM holds.
+	held func(now model.Instant, group, first int) int
+
 	mu   sync.Mutex
 	next map[fleet.Incarnation]model.Instant
 }
 
-func newColdLimiter() *coldLimiter { return &coldLimiter{next: map[fleet.Incarnation]model.Instant{}} }
+func newColdLimiter(held func(now model.Instant, group, first int) int) *coldLimiter {
+	return &coldLimiter{held: held, next: map[fleet.Incarnation]model.Instant{}}
+}
 
 // allow reports whether this VM may send a request to a cold target now, and counts the request if consume is true.
-// maxRate is the target's limit in requests per second over all VMs. position is nil if this VM does not know its rank;
-// it then sends nothing.
-func (l *coldLimiter) allow(
-	now model.Instant, incarnation fleet.Incarnation, maxRate float64, position *hub.Position, consume bool,
-) bool {
-	senders := min(sendersPerColdTarget, math.Floor(maxRate*coldRateShare))
-	if position == nil || position.VMs == 0 || senders < 1 {
-		return false
-	}
-	offset := (uint64(position.Rank) + xxhash.Sum64String(string(incarnation.ID))) % uint64(position.VMs)
-	if float64(offset) >= senders {
+// maxRate is the target's limit in requests per second over all VMs.
+func (l *coldLimiter) allow(now model.Instant, incarnation fleet.Incarnation, maxRate float64, consume bool) bool {
+	perSecond := l.perSecond(now, incarnation, maxRate)
+	if perSecond == 0 {
 		return false
 	}
-	perSender := math.Floor(maxRate * coldRateShare / senders)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if now < l.next[incarnation] {
@@ -87,11 +78,22 @@
 	}
 	if consume {
 		l.dropExpired(now)
-		l.next[incarnation] = now.Add(time.Duration(float64(time.Second) * coldSpacingFactor / perSender))
+		l.next[incarnation] = now.Add(time.Duration(float64(time.Second) * coldSpacingFactor / float64(perSecond)))
 	}
 	return true
 }
 
+// perSecond returns how many requests per second this VM may send to a target whose limit over all VMs is maxRate.
+func (l *coldLimiter) perSecond(now model.Instant, incarnation fleet.Incarnation, maxRate float64) int {
+	// A low limit is divided among fewer VMs, so that each may send at least one request.
+	usable := int(maxRate * coldRateShare)
+	senders := min(shares.UnitsPerGroup, usable)
+	if senders < 1 {
+		return 0
+	}
+	return usable / senders * l.held(now, shares.GroupOf(incarnation.ID), senders)
+}
+
 // dropExpired removes targets whose next request is already allowed. The caller must hold the mutex.
 func (l *coldLimiter) dropExpired(now model.Instant) {
 	for incarnation, next := range l.next {
--- a/internal/gateway/strikes.go
+++ b/internal/gateway/strikes.go
@@ -451,6 +451,7 @@
 	if len(records) == 0 {
 		return nil
 	}
+	started := g.clock.Now()
 	offset, err := g.store.AppendKeyed(ctx, topicStrikes, records)
 	g.metrics.storeCall("append-strikes", err)
 	if err != nil {
@@ -460,7 +461,7 @@
 	for i, record := range records {
 		record.Offset = offset + uint64(i)
 		g.applyStrikeRecord(now, record)
-		g.follower(topicStrikes).appended(now, record)
+		g.follower(topicStrikes).appended(started, now, record)
 	}
 	return nil
 }
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -1,12 +1,13 @@
 // Package hub connects all VMs to the leader, over WebSocket with CBOR-encoded messages.
 //
-// Each VM reports the load of its keys to the leader. The leader relays the records that it reads from the platform's
+// Each VM reports the load of its keys to the leader, which answers with leases of shares of the common limits. The leader relays the records that it reads from the platform's
 // store, so that a single VM reads the store instead of all of them. A VM that receives nothing over its link to the
 // leader reads the store itself, so correctness never depends on the link.
 package hub
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -17,6 +18,7 @@
 
 	"github.com/tarragonpoint/tarragonpoint/internal/fleet"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/shares"
 )
 
 var (
@@ -38,11 +40,6 @@
 	// receiveTimeout is the time without a push after which a VM treats its link as failed. The leader pushes several
 	// times a second.
 	receiveTimeout = 1500 * time.Millisecond
-	// settleTime is how long VMs may take to connect to a new leader. It exceeds PositionTTL, so that no VM still uses its
-	// position under the former leader when the first one under the new leader is settled.
-	settleTime = 2 * time.Second
-	// PositionTTL is how long a position may be used to divide common limits by rank: three reports.
-	PositionTTL = 3 * ReportInterval
 	// memberTTL is the time after its last report for which a VM counts as a member and its link is kept open.
 	memberTTL = 3 * time.Second
 	// pushQueueLength is the number of pushes queued for a slow VM before its link is closed.
@@ -61,6 +58,8 @@
 type Report struct {
 	_  struct{} `cbor:",toarray"`
 	VM string
+	// Incarnation identifies this start of the VM.
+	Incarnation string
 	// LinkMbps is the bandwidth of the VM's link, in Mbit/s.
 	LinkMbps float64
 	Services map[model.Service][]Bucket
@@ -70,6 +69,8 @@
 	Leaving []fleet.Incarnation
 	// Strikes lists the strikes that the VM recorded or withdrew, until the store shows it too.
 	Strikes []Strike
+	// Shares asks for the VM's leases of shares of the common limits.
+	Shares shares.Request
 }
 
 // Strike is a crash of a target under a request.
@@ -88,13 +89,8 @@
 	_ struct{} `cbor:",toarray"`
 	// VMs is the number of VMs that reported recently, including the leader.
 	VMs int
-	// Rank is the VM's index among them, from 0, in order of their names.
-	Rank int
 	// Candidate is true for the few VMs that stay in the election group while the leader is responsive.
 	Candidate bool
-	// Settled is true if VMs and Rank are safe to divide common limits by. They are not while VMs are still connecting to a
-	// new leader, or when the leader may have been replaced.
-	Settled bool
 }
 
 // Record is a record of a topic that the leader relays.
@@ -122,7 +118,9 @@
 type Push struct {
 	_        struct{} `cbor:",toarray"`
 	Position *Position
-	Batch    *Batch
+	// Shares answers the report that Position answers.
+	Shares *shares.Grant
+	Batch  *Batch
 	// Strikes are sent to all VMs at once, without waiting for the store.
 	Strikes []Strike
 }
@@ -133,32 +131,56 @@
 	onReport func(Report)
 	// isLeader reports whether this VM is the leader; otherwise it serves no links.
 	isLeader func() bool
-	// isConfirmed reports whether the store has recently confirmed that this VM is the leader.
-	isConfirmed func() bool
+	// isConfirmed reports whether the store confirmed less than shares.ConfirmationTTL before an instant that this VM is the
+	// leader.
+	isConfirmed func(now model.Instant) bool
 
 	mu      sync.Mutex
 	members map[string]member
 	links   map[*serverLink]bool
-	// servingSince is when this VM handled its first report since it became the leader, lastReportAt when the last one.
-	servingSince model.Instant
-	lastReportAt model.Instant
+	shares  *shares.Allocator
+	// term counts the terms of this VM's leadership.
+	term uint64
 }
 
 type serverLink struct {
 	queue  chan []byte
 	cancel context.CancelFunc
+	// term is the term in which the VM connected, or an earlier one.
+	term uint64
 }
 
-// NewServer returns a server that calls onReport for each report.
-func NewServer(now func() model.Instant, isLeader, isConfirmed func() bool, onReport func(Report)) *Server {
+// NewServer returns a server that calls onReport for each report. budgetWindow is the window of the budget that it divides among the
+// VMs.
+func NewServer(
+	now func() model.Instant, isLeader func() bool, isConfirmed func(model.Instant) bool, onReport func(Report),
+	budgetWindow time.Duration,
+) *Server {
 	return &Server{
 		now: now, isLeader: isLeader, isConfirmed: isConfirmed, onReport: onReport,
-		members: map[string]member{}, links: map[*serverLink]bool{},
+		members: map[string]member{}, links: map[*serverLink]bool{}, shares: shares.NewAllocator(budgetWindow, rand.Uint64),
 	}
 }
 
+// BeginTerm starts a term of this VM's leadership. It must be called after the store made this VM the leader and before
+// isLeader reports it. hasPredecessor is false only if there has never been another leader.
+func (s *Server) BeginTerm(hasPredecessor bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.term++
+	s.shares.Begin(s.now(), hasPredecessor)
+}
+
+func (s *Server) currentTerm() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.term
+}
+
 // ServeHTTP serves the link of one VM until the link or this VM's leadership ends.
 func (s *Server) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	// What the VM sends over the link is later than this term's start, as it is read before the link is accepted.
+	term := s.currentTerm()
 	if !s.isLeader() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -172,7 +194,7 @@
 	socket.SetReadLimit(maxMessage)
 	ctx, cancel := context.WithCancel(request.Context())
 	defer cancel()
-	link := &serverLink{queue: make(chan []byte, pushQueueLength), cancel: cancel}
+	link := &serverLink{queue: make(chan []byte, pushQueueLength), cancel: cancel, term: term}
 	s.add(link)
 	defer s.remove(link)
 	go link.write(ctx, socket)
@@ -203,32 +225,34 @@
 	if err := cbor.Unmarshal(raw, &report); err != nil {
 		return err
 	}
-	position := s.HandleReport(report)
-	return link.push(Push{Position: &position})
+	position, grant := s.handleReport(report, link.term)
+	return link.push(Push{Position: &position, Shares: &grant})
+}
+
+// HandleOwnReport handles a report of this VM itself, which arrives over no link.
+func (s *Server) HandleOwnReport(report Report) (Position, shares.Grant) {
+	return s.handleReport(report, s.currentTerm())
 }
 
-// HandleReport forwards a report and returns the position of its VM. The leader calls it directly for its own reports,
-// which arrive over no link.
-func (s *Server) HandleReport(report Report) Position {
+// handleReport forwards a report of a VM that connected in the given term, and returns the VM's position and leases.
+func (s *Server) handleReport(report Report, term uint64) (Position, shares.Grant) {
 	s.onReport(report)
-	isConfirmed := s.isConfirmed()
+	// The clock is read before the confirmation is checked, so that no lease that is granted counts as later than that.
+	now := s.now()
+	isConfirmed := s.isConfirmed(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.now()
-	if s.lastReportAt == 0 || now.Sub(s.lastReportAt) > settleTime {
-		// The leader handles its own reports several times a second, so a pause means that it was not the leader.
-		s.servingSince = now
-	}
-	s.lastReportAt = now
 	s.members[report.VM] = member{reportedAt: now, linkMbps: report.LinkMbps}
 	for vm, m := range s.members {
 		if now.Sub(m.reportedAt) > memberTTL {
 			delete(s.members, vm)
 		}
 	}
-	position := positionOf(report.VM, s.members)
-	position.Settled = now.Sub(s.servingSince) >= settleTime && isConfirmed
-	return position
+	grant := shares.Grant{}
+	if isConfirmed {
+		grant = s.shares.Renew(now, report.Incarnation, report.Shares, term == s.term)
+	}
+	return positionOf(report.VM, s.members), grant
 }
 
 // Broadcast sends a push to all VMs. The link of a VM that reads too slowly is closed; that VM then reads the store
--- a/internal/hub/hub_test.go
+++ b/internal/hub/hub_test.go
@@ -21,7 +21,8 @@
 func TestRejectedLinksLeaveNoConnection(t *testing.T) {
 	isLeader := false
 	server := NewServer(
-		func() model.Instant { return 1 }, func() bool { return isLeader }, func() bool { return true }, func(Report) {},
+		func() model.Instant { return 1 }, func() bool { return isLeader }, func(model.Instant) bool { return true }, func(Report) {},
+		10*time.Second,
 	)
 	var mu sync.Mutex
 	open, opened := map[net.Conn]bool{}, 0
--- a/internal/hub/position.go
+++ b/internal/hub/position.go
@@ -17,7 +17,7 @@
 	linkMbps   float64
 }
 
-// positionOf returns the position of a VM among all members. Members are ranked by name. Names are ordered by zone, so
+// positionOf returns the position of a VM among all members. Names are ordered by zone, so
 // choosing every n-th VM with sufficient bandwidth spreads the candidates over the zones.
 func positionOf(vm string, members map[string]member) Position {
 	maxLinkMbps := 0.0
@@ -27,9 +27,6 @@
 	position := Position{VMs: len(members)}
 	eligible, eligibleRank := 0, 0
 	for name, m := range members {
-		if name < vm {
-			position.Rank++
-		}
 		if m.linkMbps < maxLinkMbps*minCandidateLinkRatio {
 			continue
 		}
--- a/internal/hub/position_test.go
+++ b/internal/hub/position_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/shares"
 )
 
 // Guards against electing a leader with a link of 10 Mbit/s, which relaying saturates, while VMs with 200 Mbit/s exist.
@@ -21,17 +22,14 @@
 		members[fmt.Sprintf("vm-%02d", i)] = member{linkMbps: link}
 	}
 	count := 0
-	ranks := map[int]bool{}
 	for vm, m := range members {
 		position := positionOf(vm, members)
 		require.Equal(t, 75, position.VMs)
-		ranks[position.Rank] = true
 		if position.Candidate {
 			count++
 			require.InDelta(t, 200, m.linkMbps, 0, vm)
 		}
 	}
-	require.Len(t, ranks, 75)
 	require.GreaterOrEqual(t, count, candidateCount)
 	require.LessOrEqual(t, count, 2*candidateCount)
 }
@@ -53,21 +51,26 @@
 	}
 }
 
-// A position is settled once VMs have had the time to connect to a new leader, while the store confirms its leadership.
-func TestPositionIsSettledLate(t *testing.T) {
+// Guards against leases from a leader that may have been replaced, and against claims that may be older than its term.
+func TestLeasesNeedAConfirmedLeader(t *testing.T) {
 	now, confirmed := model.Instant(time.Hour), true
-	always := func() bool { return true }
-	server := NewServer(func() model.Instant { return now }, always, func() bool { return confirmed }, func(Report) {})
-	report := func(after time.Duration) bool {
-		now = now.Add(after)
-		return server.HandleReport(Report{VM: "vm-1"}).Settled
+	server := NewServer(
+		func() model.Instant { return now }, func() bool { return true }, func(model.Instant) bool { return confirmed }, func(Report) {},
+		10*time.Second,
+	)
+	server.BeginTerm(true)
+	report := func(vm string, claims ...shares.Unit) shares.Grant {
+		_, grant := server.HandleOwnReport(Report{VM: vm, Incarnation: vm + "/1", Shares: shares.Request{Number: 1, Claims: claims}})
+		return grant
 	}
-	require.False(t, report(0))
-	require.False(t, report(settleTime-time.Millisecond))
-	require.True(t, report(time.Millisecond))
+	require.Equal(t, []shares.Unit{7}, report("vm-1", 7).Units)
+	_, late := server.handleReport(Report{VM: "vm-2", Incarnation: "vm-2/1", Shares: shares.Request{Number: 1, Claims: []shares.Unit{8}}}, 0)
+	require.Empty(t, late.Units, "the link was opened in an earlier term")
 	confirmed = false
-	require.False(t, report(ReportInterval))
+	require.Zero(t, report("vm-3", 9).Number)
 	confirmed = true
-	require.True(t, report(ReportInterval))
-	require.False(t, report(time.Minute), "another VM was the leader in the meantime")
+	now = now.Add(time.Minute)
+	require.NotEmpty(t, report("vm-1").Units)
+	server.BeginTerm(true)
+	require.Empty(t, report("vm-2").Units, "a former leader may have granted any unit")
 }
--- a/internal/logging/fields.go
+++ b/internal/logging/fields.go
@@ -122,11 +122,11 @@
 // SourceAge is the time since the source of a decision's data was last known to have nothing newer, in milliseconds.
 func SourceAge(age time.Duration) Field { return Field{"source_age_ms", age.Milliseconds()} }
 
-// Position is the number of VMs among which a VM shares a common limit, followed by its rank.
-func Position(vms, rank int) Field { return Field{"position", [2]int{vms, rank}} }
+// Units is the number of units of a common limit that a VM holds, followed by the number of all units of the limit.
+func Units(held, all int) Field { return Field{"units", [2]int{held, all}} }
 
-// PositionAge is the time since a VM received its position, in milliseconds.
-func PositionAge(age time.Duration) Field { return Field{"position_age_ms", age.Milliseconds()} }
+// LeaseLeft is the time until the end of a lease, in milliseconds.
+func LeaseLeft(left time.Duration) Field { return Field{"lease_left_ms", left.Milliseconds()} }
 
 // ColdStart is the time since a VM learned of a target's cold start, followed by the time until its end, in milliseconds.
 func ColdStart(known, left time.Duration) Field {
