Show that a late claim takes no unit that is leased

A claim that the next leader gets after it has granted the unit to another VM must not take it. The rule was there, no test failed without it: with the check of the unit's holder removed, TestLateClaimDoesNotTakeALeasedUnit fails (two VMs use unit 0 at the same time).

--- a/internal/shares/shares_test.go
+++ b/internal/shares/shares_test.go
@@ -390,3 +390,22 @@
 		assert.GreaterOrEqual(t, sum, 0.5, "%d VMs", vms)
 	}
 }
+
+// Guards against a unit with two holders after a claim that arrived when the new leader had already granted the unit.
+func TestLateClaimDoesNotTakeALeasedUnit(t *testing.T) {
+	d := newDeployment(func(n int) int { return n / 2 }, 1)
+	d.run(t, 20*time.Second)
+	late := d.vms[0]
+	d.replaceLeader()
+	d.connect(late)
+	d.report(late)
+	d.vms = nil
+	d.start()
+	d.run(t, 2*LeaseTTL)
+	assert.Equal(t, Units, d.heldByAll())
+	d.vms = append(d.vms, late)
+	d.deliverReport(late)
+	d.deliverGrant(late)
+	d.run(t, 2*LeaseTTL)
+	assert.Equal(t, Units, d.heldByAll())
+}
