Search for free units only when one can be free

The leader searched all 3,072 units for each report of a VM whose share is a unit short, although none was free: with 83 VMs about 166 times a second. It now remembers when the next one can become free.

--- a/internal/gateway/reports_test.go
+++ b/internal/gateway/reports_test.go
@@ -114,3 +114,10 @@
 	assert.True(t, appended(g.controller.self, shares.ConfirmationTTL/2))
 	assert.False(t, appended("vm-3/x", 0), "another VM leads")
 }
+
+// Guards against a restarted VM that uses the leases of its predecessor, which may have used them up within the second.
+func TestEachStartOfAVMHasItsOwnLeases(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t)
+	assert.NotEqual(t, f.newVM("vm-2").report(true).Incarnation, f.newVM("vm-2").report(true).Incarnation)
+}
--- a/internal/hub/position_test.go
+++ b/internal/hub/position_test.go
@@ -66,6 +66,8 @@
 	require.Equal(t, []shares.Unit{7}, report("vm-1", 7).Units)
 	_, late := server.handleReport(Report{VM: "vm-2", Incarnation: "vm-2/1", Shares: shares.Request{Number: 1, Claims: []shares.Unit{8}}}, 0)
 	require.Empty(t, late.Units, "the link was opened in an earlier term")
+	_, restarted := server.HandleOwnReport(Report{VM: "vm-1", Incarnation: "vm-1/2", Shares: shares.Request{Number: 1}})
+	require.Empty(t, restarted.Units, "a restarted VM has no leases")
 	confirmed = false
 	require.Zero(t, report("vm-3", 9).Number)
 	confirmed = true
--- a/internal/shares/allocator.go
+++ b/internal/shares/allocator.go
@@ -23,6 +23,8 @@
 	parts    parts
 	// assignableFrom is when the leases of all former leaders have ended; 0 before the first term.
 	assignableFrom model.Instant
+	// noneFreeBefore is the earliest instant at which a unit can be free; earlier searches are futile.
+	noneFreeBefore model.Instant
 	sweptAt        model.Instant
 }
 
@@ -49,7 +51,7 @@
 func (a *Allocator) Begin(now model.Instant, hasPredecessor bool) {
 	a.holdings = [Units]holding{}
 	a.members = map[string]*member{}
-	a.assignableFrom = now.Add(connectTime)
+	a.assignableFrom, a.noneFreeBefore = now.Add(connectTime), 0
 	a.parts.begin(now, hasPredecessor)
 	if hasPredecessor {
 		// Until then the former leader, which may not know that it was replaced, has granted its last lease, and that has ended.
@@ -138,16 +140,24 @@
 // assign leases free units to a VM up to its share, at first in groups in which it holds the fewest.
 func (a *Allocator) assign(now model.Instant, m *member) {
 	missing := a.fairShare() - len(m.units)
-	if missing <= 0 {
+	if missing <= 0 || now < a.noneFreeBefore {
 		return
 	}
 	// VMs that search from different units take units of different groups.
 	offset := int(m.version % Units)
+	earliest := now.Add(LeaseTTL)
 	var free []Unit
 	for i := range Units {
-		if unit := Unit((offset + i) % Units); a.isFree(now, unit) {
-			free = append(free, unit)
+		unit := Unit((offset + i) % Units)
+		if freeAt := a.freeAt(unit); freeAt > now {
+			earliest = min(earliest, freeAt)
+			continue
 		}
+		free = append(free, unit)
+	}
+	if len(free) == 0 {
+		a.noneFreeBefore = earliest
+		return
 	}
 	free = spread(m.units, free)
 	m.units = append(m.units, free[:min(missing, len(free))]...)
@@ -167,7 +177,11 @@
 	return slices.Concat(byCount[:]...)
 }
 
-func (a *Allocator) isFree(now model.Instant, unit Unit) bool {
+// freeAt returns when a unit may be leased to another VM if its lease is not renewed; 0 if it has had none in this term.
+func (a *Allocator) freeAt(unit Unit) model.Instant {
 	held := a.holdings[unit]
-	return held.vm == "" || now >= held.until.Add(restTime)
+	if held.vm == "" {
+		return 0
+	}
+	return held.until.Add(restTime)
 }
--- a/internal/shares/shares_test.go
+++ b/internal/shares/shares_test.go
@@ -409,3 +409,20 @@
 	d.run(t, 2*LeaseTTL)
 	assert.Equal(t, Units, d.heldByAll())
 }
+
+// Guards against two users of a unit within a second because the clock of one of them is slow.
+func TestUnitsRestAlsoWithSlowClocks(t *testing.T) {
+	d := newDeployment(func(n int) int { return n / 2 }, 1)
+	slow := d.vms[0]
+	slow.rate = 0.98
+	d.run(t, 20*time.Second)
+	d.start()
+	next := d.vms[1]
+	for d.held(next) == 0 {
+		d.now = d.now.Add(10 * time.Millisecond)
+		d.report(next)
+		d.deliverReport(next)
+		d.deliverGrant(next)
+		require.NoError(t, d.check())
+	}
+}
