Show orders of events in which leases of common limits overlap or are lost

All fail on it:

- TestUndecodedAssignmentConfirmsNoLeadership: reads that end with a record that cannot be decoded confirm the leadership.
- TestUnitsRestForASecondOnAnyClock, TestNewLeaderWaitsOnAnyClock: 990 and 970 ms between two users, with clocks that differ by 2 %.

--- a/internal/gateway/reports_test.go
+++ b/internal/gateway/reports_test.go
@@ -114,3 +114,20 @@
 	assert.True(t, appended(g.controller.self, shares.ConfirmationTTL/2))
 	assert.False(t, appended("vm-3/x", 0), "another VM leads")
 }
+
+// Guards against leases from a leader that cannot decode the newest assignment, which may name another leader.
+func TestUndecodedAssignmentConfirmsNoLeadership(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t)
+	g := f.gateway
+	require.True(t, g.leadershipConfirmed(g.clock.Now()))
+	f.store.Put(topicAssignment, keyAssignment, []byte("\xff"))
+	follower := g.follower(topicAssignment)
+	hasRead := func() bool {
+		follower.mu.Lock()
+		defer follower.mu.Unlock()
+		return follower.nextOffset > g.state.table.Load().Offset+1
+	}
+	require.Eventually(t, hasRead, shareTime, time.Millisecond)
+	assert.False(t, g.leadershipConfirmed(g.clock.Now()))
+}
--- a/internal/shares/shares_test.go
+++ b/internal/shares/shares_test.go
@@ -390,3 +390,48 @@
 		assert.GreaterOrEqual(t, sum, 0.5, "%d VMs", vms)
 	}
 }
+
+// Guards against two users of a unit within a second if the clock of its former holder is slow and that of the leader fast.
+func TestUnitsRestForASecondOnAnyClock(t *testing.T) {
+	const step = time.Millisecond
+	d := newDeployment(func(n int) int { return n / 2 }, 2)
+	d.leader().rate = 1 + clockRate
+	d.leader().allocator.Begin(local(d.leader().rate, d.now), false)
+	former, next := d.vms[0], d.vms[1]
+	former.rate, next.rate = 1-clockRate, 1+clockRate
+	d.run(t, 20*time.Second)
+	for end := d.now.Add(2 * LeaseTTL); d.now < end; d.now = d.now.Add(step) {
+		d.report(next)
+		d.deliverReport(next)
+		d.deliverGrant(next)
+		require.NoError(t, d.check())
+	}
+}
+
+// Guards against the same after a change of the leader, if the clocks of the former leader and of its VM are slow.
+func TestNewLeaderWaitsOnAnyClock(t *testing.T) {
+	const step = time.Millisecond
+	d := newDeployment(func(n int) int { return n / 2 }, 1)
+	d.leader().rate = 1 - clockRate
+	d.leader().allocator.Begin(local(d.leader().rate, d.now), false)
+	former := d.vms[0]
+	former.rate = 1 - clockRate
+	d.run(t, 20*time.Second)
+	d.replaceLeader()
+	d.leader().rate = 1 + clockRate
+	d.leader().allocator.Begin(local(d.leader().rate, d.now), true)
+	d.start()
+	next := d.vms[1]
+	next.rate = 1 + clockRate
+	// The last report that the former leader answers.
+	d.now = d.now.Add(ConfirmationTTL + 10*time.Millisecond)
+	d.report(former)
+	d.deliverReport(former)
+	d.deliverGrant(former)
+	for end := d.now.Add(3 * LeaseTTL); d.now < end; d.now = d.now.Add(step) {
+		d.report(next)
+		d.deliverReport(next)
+		d.deliverGrant(next)
+		require.NoError(t, d.check())
+	}
+}
