Count leases from the latest instant at which the leader granted one

A leader that was suspended between reading the clock for a report and granting its lease could grant it after later ones, and so shorten leases that those had renewed: two VMs then used a unit at once, for good if the member outlived its units, or spread got a unit twice and panicked. Fails before: TestReportDelayedAtTheLeaderLeavesEachUnitOneHolder, TestReportDelayedAtTheLeaderCrashesNothing and TestEarlierReportDoesNotShortenALease.

--- a/internal/shares/allocator.go
+++ b/internal/shares/allocator.go
@@ -24,6 +24,8 @@
 	// assignableFrom is when the leases of all former leaders have ended; 0 before the first term.
 	assignableFrom model.Instant
 	sweptAt        model.Instant
+	// latest is the latest instant passed in.
+	latest model.Instant
 }
 
 // holding is the last lease of a unit, as counted by the leader. It is zero for a unit of which this leader knows nothing.
@@ -49,6 +51,7 @@
 func (a *Allocator) Begin(now model.Instant, hasPredecessor bool) {
 	a.holdings = [Units]holding{}
 	a.members = map[string]*member{}
+	a.latest = now
 	a.assignableFrom = now.Add(connectTime)
 	a.parts.begin(now, hasPredecessor)
 	if hasPredecessor {
@@ -64,6 +67,9 @@
 	if a.assignableFrom == 0 {
 		return Grant{}
 	}
+	// A report may be handled after later ones. An earlier instant would shorten leases that those have renewed.
+	now = max(now, a.latest)
+	a.latest = now
 	a.sweep(now)
 	if request.Ends {
 		delete(a.members, vm)
