Grant no leases between regaining leadership and the beginning of the term

The store's confirmation counts from the append or read that made this VM the leader again; the controller calls BeginTerm some time later. A report in between, over a link of the former term, got units by the former term's state, which other leaders may have granted since. Fails before: TestReplacedLeaderGrantsNothingBeforeItsNextTerm.

--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -239,7 +239,8 @@
 	s.onReport(report)
 	// The clock is read before the confirmation is checked, so that no lease that is granted counts as later than that.
 	now := s.now()
-	isConfirmed := s.isConfirmed(now)
+	// The store may confirm the leadership before the term begins, which isLeader reports.
+	isConfirmed := s.isConfirmed(now) && s.isLeader()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.members[report.VM] = member{reportedAt: now, linkMbps: report.LinkMbps}
