Confirm no leadership while the newest assignment cannot be decoded

A leader that read past a record that it could not decode took the assignment before it for the newest, and granted leases beside the leader that the record may name; the state machine of the keys already stops then. Fails before: TestUndecodedAssignmentConfirmsNoLeadership.

--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -88,13 +88,16 @@
 }
 
 // leadershipConfirmed reports whether the store has confirmed that the assignment that names this VM as the leader was the newest
-// less than shares.ConfirmationTTL before an instant.
+// less than shares.ConfirmationTTL before an instant. A later record that could not be decoded may name another leader.
 func (g *gateway) leadershipConfirmed(now model.Instant) bool {
 	f := g.follower(topicAssignment)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	table := g.state.table.Load()
-	return table != nil && table.Leader == g.controller.self && !table.Resigned && now.Sub(f.newestAt) < shares.ConfirmationTTL
+	if table == nil || table.Leader != g.controller.self || table.Resigned || f.nextOffset > table.Offset+1 {
+		return false
+	}
+	return now.Sub(f.newestAt) < shares.ConfirmationTTL
 }
 
 // report returns this VM's next report, which must be sent at once. isFirst is true for the first one to a leader.
