Repeat claims of leases until the new leader has answered one

A VM claimed its units only in its first report over a link. If the store had not confirmed the leadership for a second when it arrived, the claims were lost and the VM's units went unused until the new leader may grant any. Fails before: TestClaimsOutliveAnUnconfirmedFirstReport.

--- a/internal/shares/holder.go
+++ b/internal/shares/holder.go
@@ -18,6 +18,8 @@
 	// sentAt holds when the last reports were sent, by their numbers modulo rememberedReports.
 	sentAt [rememberedReports]sentReport
 	number uint64
+	// claimedFrom is the number of the first report over the present link until a grant answers it or a later one; then 0.
+	claimedFrom uint64
 	// version and units are those of the last grant.
 	version uint64
 	units   []Unit
@@ -45,6 +47,9 @@
 	h.sentAt[h.number%rememberedReports] = sentReport{number: h.number, at: now}
 	request := Request{Number: h.number, Version: h.version, Part: h.partAt(now)}
 	if isFirst {
+		h.claimedFrom = h.number
+	}
+	if h.claimedFrom != 0 {
 		for unit := range Unit(Units) {
 			if h.heldUntil[unit] > now {
 				request.Claims = append(request.Claims, unit)
@@ -62,6 +67,9 @@
 	if grant.Number == 0 || sent.number != grant.Number {
 		return false
 	}
+	if grant.Number >= h.claimedFrom {
+		h.claimedFrom = 0
+	}
 	units := grant.Units
 	if grant.Version == h.version {
 		units = h.units
--- a/internal/shares/shares.go
+++ b/internal/shares/shares.go
@@ -67,7 +67,7 @@
 	Number uint64
 	// Version is that of the VM's last grant; 0 before the first one.
 	Version uint64
-	// Claims lists the units that the VM holds. It is set in the first report over a link.
+	// Claims lists the units that the VM holds. It is set in the reports over a link until the leader has granted leases over it.
 	Claims []Unit
 	// Part is the part of the budget that the VM holds.
 	Part float64
