--- a/internal/hub/lease_order_test.go
+++ b/internal/hub/lease_order_test.go
@@ -164,3 +164,32 @@
 		require.Equal(t, shares.Units, h.holders["vm-1"].Held(h.now))
 	}
 }
+
+// Guards against all units at one VM, and targets without requests once it has to give them up, after the store did not confirm the
+// leadership for longer than a lease: the first VM to report then got them all.
+func TestVMsKeepTheirUnitsWhileTheStoreIsAway(t *testing.T) {
+	h := newLeaseHub(t, false)
+	vms := []string{"vm-1", "vm-2", "vm-3", "vm-4"}
+	play := func(rounds int, check func()) {
+		for range rounds {
+			h.now = h.now.Add(ReportInterval)
+			for _, vm := range vms {
+				h.report(vm, 1)
+			}
+			check()
+		}
+	}
+	equal := func() {
+		h.requireDisjoint()
+		for _, vm := range vms {
+			require.Equal(t, shares.Units/len(vms), h.holders[vm].Held(h.now), vm)
+		}
+	}
+	play(40, func() {})
+	equal()
+	h.isConfirmed = false
+	play(24, h.requireDisjoint)
+	require.Zero(t, h.holders["vm-1"].Held(h.now))
+	h.isConfirmed = true
+	play(40, equal)
+}
