Keep the units of VMs that report while the store is away

The leader dropped all VMs as members while it had no confirmation and handled none of their reports, so after an outage of the store longer than a lease the first VM to report got all units.

--- a/internal/shares/allocator.go
+++ b/internal/shares/allocator.go
@@ -81,7 +81,7 @@
 		m = &member{version: max(1, a.random())}
 		a.members[vm] = m
 	}
-	m.renewedAt = now
+	m.renewedAt = max(m.renewedAt, now)
 	before := slices.Clone(m.units)
 	if claimable {
 		a.adopt(now, vm, m, request.Claims)
@@ -91,9 +91,7 @@
 	if now >= a.assignableFrom {
 		a.assign(now, m)
 	}
-	for _, unit := range m.units {
-		a.holdings[unit] = holding{vm: vm, until: now.Add(LeaseTTL + clockMargin)}
-	}
+	a.reserve(now, vm, m)
 	if !slices.Equal(before, m.units) {
 		m.version++
 	}
@@ -104,6 +102,23 @@
 	return grant
 }
 
+// Keep handles the report of a VM while the leadership is not confirmed: it grants nothing, but keeps the VM's units for it. Nobody
+// else can have got them if the leadership is confirmed again in the same term.
+func (a *Allocator) Keep(now model.Instant, vm string) {
+	a.sweep(now)
+	if m := a.members[vm]; m != nil {
+		m.renewedAt = max(m.renewedAt, now)
+		a.reserve(now, vm, m)
+	}
+}
+
+// reserve keeps a VM's units for it until a lease that is granted now has ended.
+func (a *Allocator) reserve(now model.Instant, vm string, m *member) {
+	for _, unit := range m.units {
+		a.holdings[unit] = holding{vm: vm, until: max(a.holdings[unit].until, now.Add(LeaseTTL+clockMargin))}
+	}
+}
+
 // sweep drops the VMs whose leases have ended. Their units become free after restTime.
 func (a *Allocator) sweep(now model.Instant) {
 	if now.Sub(a.sweptAt) < sweepInterval {
