--- a/internal/gateway/reports_test.go
+++ b/internal/gateway/reports_test.go
@@ -121,3 +121,20 @@
 	f := startFixture(t)
 	assert.NotEqual(t, f.newVM("vm-2").report(true).Incarnation, f.newVM("vm-2").report(true).Incarnation)
 }
+
+// Guards against leases from a leader that cannot decode the newest assignment, which may name another leader.
+func TestUndecodedAssignmentConfirmsNoLeadership(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t)
+	g := f.gateway
+	require.True(t, g.leadershipConfirmed(g.clock.Now()))
+	f.store.Put(topicAssignment, keyAssignment, []byte("\xff"))
+	follower := g.follower(topicAssignment)
+	hasRead := func() bool {
+		follower.mu.Lock()
+		defer follower.mu.Unlock()
+		return follower.nextOffset > g.state.table.Load().Offset+1
+	}
+	require.Eventually(t, hasRead, shareTime, time.Millisecond)
+	assert.False(t, g.leadershipConfirmed(g.clock.Now()))
+}
--- a/internal/shares/allocator.go
+++ b/internal/shares/allocator.go
@@ -26,6 +26,8 @@
 	// noneFreeBefore is the earliest instant at which a unit can be free; earlier searches are futile.
 	noneFreeBefore model.Instant
 	sweptAt        model.Instant
+	// latest is the latest instant passed in.
+	latest model.Instant
 }
 
 // holding is the last lease of a unit, as counted by the leader. It is zero for a unit of which this leader knows nothing.
@@ -51,7 +53,8 @@
 func (a *Allocator) Begin(now model.Instant, hasPredecessor bool) {
 	a.holdings = [Units]holding{}
 	a.members = map[string]*member{}
-	a.assignableFrom, a.noneFreeBefore = now.Add(connectTime), 0
+	a.latest, a.noneFreeBefore = now, 0
+	a.assignableFrom = now.Add(connectTime)
 	a.parts.begin(now, hasPredecessor)
 	if hasPredecessor {
 		// Until then the former leader, which may not know that it was replaced, has granted its last lease, and that has ended.
@@ -66,6 +69,9 @@
 	if a.assignableFrom == 0 {
 		return Grant{}
 	}
+	// A report may be handled after later ones. An earlier instant would shorten leases that those have renewed.
+	now = max(now, a.latest)
+	a.latest = now
 	a.sweep(now)
 	if request.Ends {
 		delete(a.members, vm)
@@ -77,7 +83,7 @@
 		m = &member{version: max(1, a.random())}
 		a.members[vm] = m
 	}
-	m.renewedAt = now
+	m.renewedAt = max(m.renewedAt, now)
 	before := slices.Clone(m.units)
 	if claimable {
 		a.adopt(now, vm, m, request.Claims)
@@ -87,9 +93,7 @@
 	if now >= a.assignableFrom {
 		a.assign(now, m)
 	}
-	for _, unit := range m.units {
-		a.holdings[unit] = holding{vm: vm, until: now.Add(LeaseTTL + clockMargin)}
-	}
+	a.reserve(now, vm, m)
 	if !slices.Equal(before, m.units) {
 		m.version++
 	}
@@ -100,6 +104,23 @@
 	return grant
 }
 
+// Keep handles the report of a VM while the leadership is not confirmed: it grants nothing, but keeps the VM's units for it. Nobody
+// else can have got them if the leadership is confirmed again in the same term.
+func (a *Allocator) Keep(now model.Instant, vm string) {
+	a.sweep(now)
+	if m := a.members[vm]; m != nil {
+		m.renewedAt = max(m.renewedAt, now)
+		a.reserve(now, vm, m)
+	}
+}
+
+// reserve keeps a VM's units for it until a lease that is granted now has ended.
+func (a *Allocator) reserve(now model.Instant, vm string, m *member) {
+	for _, unit := range m.units {
+		a.holdings[unit] = holding{vm: vm, until: max(a.holdings[unit].until, now.Add(LeaseTTL+clockMargin))}
+	}
+}
+
 // sweep drops the VMs whose leases have ended. Their units become free after restTime.
 func (a *Allocator) sweep(now model.Instant) {
 	if now.Sub(a.sweptAt) < sweepInterval {
