Check a request's target again before the request is sent

A request is placed, then waits for a connection. Before its first byte acceptsRequests asked only whether its target was leaving or paused, and accepted a target that was not registered any more, or whose ID had another incarnation: one that had restarted, so that it was cold. What targets saw: all requests that had been placed before the restart, at once. What callers saw: requests that wait for a target known to be unreachable, while others could serve them.

Change: checkSend refuses a target that is gone, has another incarnation, or is unavailable or paused; one that has become cold since the placement needs an allowance of the cold limit, as at a placement. Nothing has run, so the outcome stays not-run: unsafe requests are placed again, a refused hedge leaves the first attempt, a keyed request waits for its owner as those do that are placed later. No busy loop: the next placement asks the same registry and limiter, which by then exclude the target.

TestTargetIsCheckedImmediatelyBeforeARequestIsSent asks checkSend for the reason in place of acceptsRequests for a yes or no.

New metric sends_refused.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -36,13 +36,17 @@
 // idempotent request is overdue, it hedges with a second attempt in parallel; the first valid response wins.
 func (g *gateway) attempt(ctx context.Context, j *job, chosen placement) (callerResponse, bool) {
 	now := g.clock.Now()
-	if j.sends > 0 && !g.budget(j.service).Take(now, g.retryBurst()) {
-		return reject(result.Overloaded, "retry budget exhausted", overloadRetryAfter), true
+	budgetedAt := model.Instant(0)
+	if j.sends > 0 {
+		if !g.budget(j.service).Take(now, g.retryBurst()) {
+			return reject(result.Overloaded, "retry budget exhausted", overloadRetryAfter), true
+		}
+		budgetedAt = now
 	}
 	callCtx, cancel := g.attemptContext(ctx, j, now)
 	defer cancel()
 	results := make(chan attemptResult, maxParallelAttempts)
-	g.launch(callCtx, j, chosen, results)
+	g.launch(callCtx, j, chosen, budgetedAt, results)
 	inFlight := 1
 	hedge := time.NewTimer(g.hedgeDelay(now, j, chosen))
 	defer hedge.Stop()
@@ -150,12 +154,14 @@
 		return false
 	}
 	g.metrics.hedge(string(j.service))
-	g.launch(ctx, j, chosen, results)
+	g.launch(ctx, j, chosen, now, results)
 	return true
 }
 
-// launch starts one attempt.
-func (g *gateway) launch(ctx context.Context, j *job, chosen placement, results chan<- attemptResult) {
+// launch starts one attempt. budgetedAt is when it was taken from the retry budget; 0 if it was not.
+func (g *gateway) launch(
+	ctx context.Context, j *job, chosen placement, budgetedAt model.Instant, results chan<- attemptResult,
+) {
 	now := g.clock.Now()
 	j.sends++
 	j.tried = append(j.tried, chosen.target.Incarnation())
@@ -172,7 +178,9 @@
 		defer ended()
 		unavailable := false
 		call.BeforeSend = func() error {
-			if unavailable = !g.acceptsRequests(chosen.target.Incarnation()); unavailable {
+			refusal := g.checkSend(service, &chosen)
+			if unavailable = refusal != sendAccepted; unavailable {
+				g.metrics.refusedSend(refusal.String())
 				return errTargetUnavailable
 			}
 			if err := watch.beforeSend(); err != nil {
@@ -184,6 +192,9 @@
 		call.OnPause = func(pause time.Duration) { g.recordPause(chosen.target.Incarnation(), pause) }
 		response, err := g.targets.Do(ctx, chosen.target.Address, call)
 		end := g.clock.Now()
+		if unavailable && budgetedAt != 0 {
+			g.budget(service).Return(budgetedAt)
+		}
 		outcome := classify(response, err)
 		g.picker.End(end, ticket, pickerResult(response, outcome, isCanceled(caller, route, err)))
 		g.countBytes(route.Name, &chosen.target, len(call.Body), response)
@@ -195,16 +206,49 @@
 	}()
 }
 
-// errTargetUnavailable reports that a target may not get requests any more, found immediately before a request was sent.
-var errTargetUnavailable = errors.New("target is leaving or wants no requests")
+// errTargetUnavailable reports that a target may not get a request any more, found immediately before it was sent.
+var errTargetUnavailable = errors.New("target may not get the request any more")
+
+// sendRefusal is why a request is not sent to the target that was chosen for it.
+type sendRefusal uint8
+
+const (
+	// sendAccepted means that the request may be sent.
+	sendAccepted sendRefusal = iota
+	// refusedGone means that the target is not registered any more, or that another incarnation has its ID.
+	refusedGone
+	// refusedUnavailable means that the target is leaving, unreachable, or in a zone that was just restored to service.
+	refusedUnavailable
+	// refusedPaused means that the target wants no requests for some time.
+	refusedPaused
+	// refusedCold means that the target has become cold and that its limit leaves no request for this VM now.
+	refusedCold
+)
+
+func (r sendRefusal) String() string {
+	return [...]string{"accepted", "gone", "unavailable", "paused", "cold"}[r]
+}
 
-// acceptsRequests reports whether a chosen target may still get requests immediately before one is sent.
-func (g *gateway) acceptsRequests(incarnation fleet.Incarnation) bool {
-	entry, found := g.state.lookup(g.clock.Now(), incarnation.ID)
+// checkSend decides whether a request of a service may still be sent to the target that was chosen for it. It is called
+// immediately before the first byte, because the request may have waited for a connection since.
+func (g *gateway) checkSend(service model.Service, chosen *placement) sendRefusal {
+	now := g.clock.Now()
+	incarnation := chosen.target.Incarnation()
+	entry, found := g.state.lookup(now, incarnation.ID)
 	if !found || entry.Target.Incarnation() != incarnation {
-		return true
+		return refusedGone
+	}
+	switch entry.State {
+	case registry.Unavailable:
+		return refusedUnavailable
+	case registry.Paused:
+		return refusedPaused
+	case registry.Cold:
+		if !chosen.coldAllowed && !g.allowCold(now, g.state.config.Load().Services[service], incarnation, true) {
+			return refusedCold
+		}
 	}
-	return !entry.Leaving && entry.State != registry.Paused
+	return sendAccepted
 }
 
 // logColdSend logs a request that is about to be sent to a cold target, and what this VM's share of the target's limit rests on.
@@ -418,7 +462,9 @@
 		g.await(ctx, g.state.change(), ownerGrantWait)
 	}
 	if repeatable && j.sends < g.maxSends(j, attempt.outcome) && j.timeLeft(now) > g.picker.Work(j.route.Name)/2 {
-		g.metrics.retry(string(j.service))
+		if !attempt.targetUnavailable {
+			g.metrics.retry(string(j.service))
+		}
 		return base, false
 	}
 	return g.finalResponse(now, j, base, attempt.response, attempt.outcome), true
--- a/internal/gateway/availability_test.go
+++ b/internal/gateway/availability_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
+	"github.com/tarragonpoint/tarragonpoint/internal/registry"
 	"github.com/tarragonpoint/tarragonpoint/internal/standin/platformstub"
 )
 
@@ -91,13 +92,16 @@
 	now := f.gateway.clock.Now()
 	leaving, _ := f.gateway.state.lookup(now, "d-1")
 	paused, _ := f.gateway.state.lookup(now, "d-2")
-	assert.True(t, f.gateway.acceptsRequests(leaving.Target.Incarnation()))
+	check := func(entry registry.Entry) sendRefusal {
+		return f.gateway.checkSend("desk", &placement{target: entry.Target})
+	}
+	assert.Equal(t, sendAccepted, check(leaving))
 	f.gateway.markLeaving(leaving.Target.Incarnation(), "response to a request")
 	f.gateway.state.mu.Lock()
 	f.gateway.state.registry.Pause(now, paused.Target.Incarnation(), now.Add(time.Minute))
 	f.gateway.state.mu.Unlock()
-	assert.False(t, f.gateway.acceptsRequests(leaving.Target.Incarnation()))
-	assert.False(t, f.gateway.acceptsRequests(paused.Target.Incarnation()))
+	assert.Equal(t, refusedUnavailable, check(leaving))
+	assert.Equal(t, refusedPaused, check(paused))
 }
 
 // cutTarget serves the start of a response on each connection and closes it.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -123,6 +123,11 @@
 	m.count(counterKey{name: "retries", label: "service", value: service})
 }
 
+// refusedSend counts an attempt that was not sent because its target may not get it any more.
+func (m *metrics) refusedSend(reason string) {
+	m.count(counterKey{name: "sends_refused", label: "reason", value: reason})
+}
+
 // slowDelivery counts a response that was cut off because its caller read too slowly.
 func (m *metrics) slowDelivery() {
 	m.count(counterKey{name: "deliveries_cut", label: "reason", value: "timeout"})
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -28,6 +28,8 @@
 	target fleet.Target
 	// isOwner is true if the target is the only one that may serve the request, as the owner of its key.
 	isOwner bool
+	// coldAllowed is true if the target is cold and the request counts towards its limit.
+	coldAllowed bool
 	// age is the time since the target's last report was read; set for keyed services only.
 	age      time.Duration
 	estimate picker.Estimate
@@ -88,10 +90,11 @@
 		return rejectOverloaded(decision, choice.Estimate)
 	}
 	target := *targets[choice.Index]
-	if now < target.ColdUntil && !g.allowCold(now, service, target.Incarnation(), true) {
+	isCold := now < target.ColdUntil
+	if isCold && !g.allowCold(now, service, target.Incarnation(), true) {
 		return placement{action: actionWait, wait: coldRecheckDelay}
 	}
-	return placement{action: actionSend, target: target, estimate: choice.Estimate}
+	return placement{action: actionSend, target: target, coldAllowed: isCold, estimate: choice.Estimate}
 }
 
 // chooseAmong chooses a target from this VM's subset of the given ones, and from all of them if no target of the subset has
@@ -239,7 +242,8 @@
 		return g.waitForPause(now, j, entry.PauseLeft)
 	}
 	service := g.state.config.Load().Services[j.service]
-	if entry.State == registry.Cold && !g.allowCold(now, service, r.Owner.Incarnation, true) {
+	isCold := entry.State == registry.Cold
+	if isCold && !g.allowCold(now, service, r.Owner.Incarnation, true) {
 		return g.waitForOwner(now, j, "owner is cold")
 	}
 	if !g.throttle.Allow(now, r.Owner.Incarnation, g.isUrgent(j), rand.Float64()) {
@@ -250,7 +254,9 @@
 		g.countRejectedWork(j.route.Name, j.service, j.callerHeaders.Key)
 		return rejectOverloaded(decision, estimate)
 	}
-	return placement{action: actionSend, target: entry.Target, isOwner: true, age: entry.Age, estimate: estimate}
+	return placement{
+		action: actionSend, target: entry.Target, isOwner: true, coldAllowed: isCold, age: entry.Age, estimate: estimate,
+	}
 }
 
 // rejectThrottled rejects a request whose owner rejects most requests. The callers return at random times, spread over as
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -69,6 +69,18 @@
 	return b.take(now, part*b.share, part*burst)
 }
 
+// Return takes back an attempt that Take or TakePart recorded at an instant and that was not sent.
+func (b *WindowBudget) Return(takenAt model.Instant) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	step := int64(takenAt) / int64(b.step)
+	if step > b.current || step <= b.current-int64(len(b.requests)) {
+		return
+	}
+	slot := step % int64(len(b.requests))
+	b.retries[slot] = max(0, b.retries[slot]-1)
+}
+
 // Rate returns the number of requests per second in the window that ends now.
 func (b *WindowBudget) Rate(now model.Instant) float64 {
 	b.mu.Lock()
--- a/internal/retry/window_test.go
+++ b/internal/retry/window_test.go
@@ -61,3 +61,17 @@
 	assert.True(t, b.Take(model.Instant(time.Hour), 1))
 	assert.False(t, b.Take(model.Instant(time.Hour), 1))
 }
+
+// Guards against a budget that attempts which were never sent use up, and against one that grows when they are taken back.
+func TestWindowBudgetTakesBackUnsentAttempts(t *testing.T) {
+	const second = model.Instant(time.Second)
+	b := NewWindowBudget(0, 10*time.Second)
+	assert.True(t, b.Take(second, 1))
+	assert.False(t, b.Take(2*second, 1))
+	b.Return(second)
+	assert.True(t, b.Take(3*second, 1))
+	b.Return(second)
+	b.Return(-1000 * second)
+	b.Return(1000 * second)
+	assert.False(t, b.Take(4*second, 1), "the attempt taken back twice is not the one that was sent")
+}
