Bound what a VM sends to a cold target in any second

A request at a cold target counted when it was placed, and then waited for its connection: a handshake, which takes long at a target that does not respond, and a target that has just started has no open connections. So requests that were placed one by one left together. What the target saw: more than its limit from one VM whose share was kept.

Change: coldLimiter.send keeps the times at which requests left for each incarnation and allows as many as the VM's share in any 1.05 s. checkSend asks it immediately before the first byte; a refused request is placed again and uses no retry budget. Placement leaves out a target whose sends are used up (maySend), so it does not wait for a refusal.

perSecond is a parameter, the number of requests that this VM may send to the target in a second; coldSends computes it from coldShare, which allow uses as well. A VM without a current rank sends 0, so a request that has waited until the rank expired is not sent either.

Not covered: a process that is suspended between the check and the first byte, and requests that left while the target counted as warm.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -221,7 +221,7 @@
 	refusedUnavailable
 	// refusedPaused means that the target wants no requests for some time.
 	refusedPaused
-	// refusedCold means that the target has become cold and that its limit leaves no request for this VM now.
+	// refusedCold means that the target is cold and that its limit leaves no request for this VM now.
 	refusedCold
 )
 
@@ -244,7 +244,11 @@
 	case registry.Paused:
 		return refusedPaused
 	case registry.Cold:
-		if !chosen.coldAllowed && !g.allowCold(now, g.state.config.Load().Services[service], incarnation, true) {
+		config := g.state.config.Load().Services[service]
+		if !chosen.coldAllowed && !g.allowCold(now, config, incarnation, true) {
+			return refusedCold
+		}
+		if !g.cold.send(now, incarnation, g.coldSends(now, config)) {
 			return refusedCold
 		}
 	}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -150,11 +150,12 @@
 	return placement{action: actionWait, wait: pause}
 }
 
+// allowCold reports whether a request may be placed at a cold target of a service, and counts it if consume is true.
 func (g *gateway) allowCold(
 	now model.Instant, service fleet.Service, incarnation fleet.Incarnation, consume bool,
 ) bool {
-	maxRate := service.ColdRate*g.settings.ColdFactor + g.settings.ColdBurst
-	return g.cold.allow(now, incarnation, maxRate, g.currentRank(now), consume)
+	return g.cold.maySend(now, incarnation, g.coldSends(now, service)) &&
+		g.cold.allow(now, incarnation, g.coldMaxRate(service), g.currentRank(now), consume)
 }
 
 // eligible returns the targets that may receive the request now. With skipTried, targets that already had an attempt
--- a/internal/gateway/send_test.go
+++ b/internal/gateway/send_test.go
@@ -97,7 +97,7 @@
 
 // registerRestarted registers another incarnation of d-1, which is cold, and waits until the VM knows it.
 func (f *fixture) registerRestarted() {
-	f.store.Put("keyed.servers", "d-1", fmt.Appendf(nil, `{"service":"desk","address":%q,"zone":"a","max-concurrency":4,`+
+	f.store.Put("keyed.servers", "d-1", fmt.Appendf(nil, `{"service":"desk","address":%q,"zone":"a","max-concurrency":64,`+
 		`"state":"ready","warmup-left":"60s","seq":1,"born":2}`, f.targets["d-1"].Address()))
 	require.Eventually(f.t, func() bool {
 		entry, _ := f.gateway.state.lookup(f.gateway.clock.Now(), "d-1")
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"math"
 	"sync"
 	"time"
 
@@ -61,6 +60,8 @@
 type coldLimiter struct {
 	mu   sync.Mutex
 	next map[fleet.Incarnation]model.Instant
+	// sends holds the requests that have left; it has a lock of its own.
+	sends sendTimes
 }
 
 func newColdLimiter() *coldLimiter { return &coldLimiter{next: map[fleet.Incarnation]model.Instant{}} }
@@ -71,15 +72,14 @@
 func (l *coldLimiter) allow(
 	now model.Instant, incarnation fleet.Incarnation, maxRate float64, position *hub.Position, consume bool,
 ) bool {
-	senders := min(sendersPerColdTarget, math.Floor(maxRate*coldRateShare))
+	senders, perSender := coldShare(maxRate)
 	if position == nil || position.VMs == 0 || senders < 1 {
 		return false
 	}
 	offset := (uint64(position.Rank) + xxhash.Sum64String(string(incarnation.ID))) % uint64(position.VMs)
-	if float64(offset) >= senders {
+	if offset >= uint64(senders) {
 		return false
 	}
-	perSender := math.Floor(maxRate * coldRateShare / senders)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if now < l.next[incarnation] {
@@ -87,7 +87,7 @@
 	}
 	if consume {
 		l.dropExpired(now)
-		l.next[incarnation] = now.Add(time.Duration(float64(time.Second) * coldSpacingFactor / perSender))
+		l.next[incarnation] = now.Add(time.Duration(float64(time.Second) * coldSpacingFactor / float64(perSender)))
 	}
 	return true
 }
