End a target's failure only by a report written after it

After a VM could not reach a target, the next report that it read made the target usable again, also one from before the failure: the store executes writes late, a batch of the leader may have been read before the failure, and a list holds reports of any age. What the target saw: full load on a process that had come back cold under the same ID and address, from VMs that had noticed its end.

Change: Registry.Report takes writtenAfter, an instant before which the registration was not written. The follower knows one: a record whose offset is not below an end of the topic was written after that end was read. The instant is the start of the read; of a relayed batch its arrival less its age and 100 ms for the link. A failure ends with a report whose writtenAfter is not before it; a report of a later incarnation is usable at once.

A target stays unusable until one read has started after the failure and one report was written after that read: on a healthy link at most a heartbeat and a read longer than before. The leader relays that report, as a VM names the target until then.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -90,6 +90,10 @@
 	listed bool
 	// confirmedAt is when a response of the store or the leader last confirmed that the topic ends at nextOffset.
 	confirmedAt model.Instant
+	// endOffset is an offset at which the topic ended at endedAt or before. Unlike confirmedAt, endedAt allows for the time
+	// that the response or the relayed batch has taken to arrive.
+	endOffset uint64
+	endedAt   model.Instant
 	// freshUntil is when the relayed state stops counting as up to date. It is read without the lock, because the
 	// controller's loop reads it while a follower that holds the lock may be waiting for that loop.
 	freshUntil atomic.Int64
@@ -99,6 +103,9 @@
 	// relayFreshness is how long a relayed topic counts as up to date. The leader reads the topics that have it at least
 	// twice in that time.
 	relayFreshness = 1100 * time.Millisecond
+	// relayDelayMargin is by how much earlier than its age says the records of a relayed batch may have been read: the age
+	// does not count the time on the link and is in whole milliseconds. A round trip between regions takes 25 ms.
+	relayDelayMargin = 100 * time.Millisecond
 )
 
 // run follows the topic until ctx ends.
@@ -322,6 +329,7 @@
 	}
 	f.nextOffset = batch.To
 	f.confirmedAt = now.Add(-time.Duration(batch.Age) * time.Millisecond)
+	f.setEnd(f.confirmedAt.Add(-relayDelayMargin), batch.To)
 	f.freshUntil.Store(int64(now.Add(f.freshness - time.Duration(batch.Age)*time.Millisecond)))
 	if !f.ignoresOutages {
 		f.gw.expireTargets(now, true)
@@ -338,7 +346,25 @@
 	return true
 }
 
+// setEnd records that the topic ended at an offset at an instant or before. The caller must hold mu.
+func (f *topicFollower) setEnd(at model.Instant, offset uint64) {
+	if at > f.endedAt {
+		f.endedAt, f.endOffset = at, offset
+	}
+}
+
+// writtenAfter returns an instant before which the record at an offset was not written, or 0 if none is known. The caller must
+// hold mu.
+func (f *topicFollower) writtenAfter(offset uint64) model.Instant {
+	if offset < f.endOffset {
+		return 0
+	}
+	return f.endedAt
+}
+
+// notifyRead records a read up to the end of the topic, which ended at the offset end at confirmedAt. The caller must hold mu.
 func (f *topicFollower) notifyRead(confirmedAt model.Instant, end uint64) {
+	f.setEnd(confirmedAt, end)
 	if f.onRead != nil {
 		f.onRead(confirmedAt, end)
 	}
--- a/internal/gateway/topics.go
+++ b/internal/gateway/topics.go
@@ -82,8 +82,12 @@
 		name: "targets", topic: platform.TopicTargets, gw: g, relistAge: topicRelistAge, freshness: relayFreshness,
 		readInterval: func() time.Duration { return targetsReadInterval },
 		pollWait:     func() time.Duration { return 0 },
-		applyList:    g.listTargets,
-		applyRecord:  g.applyTarget,
+	}
+	f.applyList = func(now model.Instant, page platform.Page) []relayedRecord {
+		return g.listTargets(now, page, f.writtenAfter)
+	}
+	f.applyRecord = func(now model.Instant, record platform.Record) *relayedRecord {
+		return g.applyTarget(now, record, f.writtenAfter(record.Offset))
 	}
 	return f
 }
@@ -122,12 +126,15 @@
 	return relayed
 }
 
-// listTargets applies the list of registrations. Targets that are not in the list are removed.
-func (g *gateway) listTargets(now model.Instant, page platform.Page) []relayedRecord {
+// listTargets applies the list of registrations. Targets that are not in the list are removed. writtenAfter returns an instant
+// before which the record at an offset was not written, or 0.
+func (g *gateway) listTargets(
+	now model.Instant, page platform.Page, writtenAfter func(offset uint64) model.Instant,
+) []relayedRecord {
 	listed := map[model.TargetID]bool{}
 	var relayed []relayedRecord
 	for _, record := range page.Records {
-		if r := g.applyTarget(now, record); r != nil {
+		if r := g.applyTarget(now, record, writtenAfter(record.Offset)); r != nil {
 			relayed = append(relayed, *r)
 		}
 		listed[model.TargetID(record.Key)] = true
@@ -162,8 +169,8 @@
 
 // applyTarget applies a record and returns the record to relay, or nil if there is nothing to relay. A record that cannot be
 // decoded names no target, so the target that had its key is removed here and at the other VMs; the record itself may be
-// of any size and content and is not passed on.
-func (g *gateway) applyTarget(now model.Instant, record platform.Record) *relayedRecord {
+// of any size and content and is not passed on. writtenAfter is an instant before which the record was not written, or 0.
+func (g *gateway) applyTarget(now model.Instant, record platform.Record, writtenAfter model.Instant) *relayedRecord {
 	log := g.log.Part(logging.Registry)
 	id := model.TargetID(record.Key)
 	if len(record.Value) == 0 {
@@ -183,7 +190,7 @@
 	outdated, changed := false, false
 	g.state.withRegistry(func(r *registry.Registry) {
 		outdated = r.IsOutdated(now, target)
-		changed = r.Report(now, target, registration.ColdLeft)
+		changed = r.Report(now, target, registration.ColdLeft, writtenAfter)
 	})
 	if outdated {
 		log.Event("outdated report ignored", logging.TargetID(id), logging.ReportNumber(target.Report),
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -44,8 +44,6 @@
 	readAt model.Instant
 	// dropAt is when an expired entry is dropped; 0 if it has not expired.
 	dropAt model.Instant
-	// failedAt is when this VM last found the target unreachable; the next report clears it.
-	failedAt model.Instant
 }
 
 // lastReport is the number of an incarnation's last report, and when it was read.
@@ -72,6 +70,9 @@
 	leaving map[fleet.Incarnation]model.Instant
 	// lastReports holds the last report of each incarnation, also after its entry was removed.
 	lastReports map[fleet.Incarnation]lastReport
+	// failed holds when this VM last found an incarnation unreachable. It is kept apart from the entries, because a late
+	// report may bring back an entry that was removed.
+	failed map[fleet.Incarnation]model.Instant
 	// paused holds until when an incarnation wants no requests from this VM.
 	paused map[fleet.Incarnation]model.Instant
 }
@@ -83,6 +84,7 @@
 		evacuated: map[model.Zone]bool{}, restoredAt: map[model.Zone]model.Instant{},
 		lastReports: map[fleet.Incarnation]lastReport{},
 		leaving:     map[fleet.Incarnation]model.Instant{}, paused: map[fleet.Incarnation]model.Instant{},
+		failed: map[fleet.Incarnation]model.Instant{},
 	}
 }
 
@@ -98,12 +100,14 @@
 	r.outage = !available
 }
 
-// Report records a registration. coldLeft is the remaining duration of the target's cold start. Report returns true if
-// more changed than the time of the report, or the target stays cold for longer. It ignores outdated reports.
-func (r *Registry) Report(now model.Instant, target fleet.Target, coldLeft time.Duration) bool {
+// Report records a registration. coldLeft is the remaining duration of the target's cold start; writtenAfter is an instant
+// before which the registration was not written, or 0 if none is known. Report returns true if more changed than the time of
+// the report, or the target stays cold for longer. It ignores outdated reports.
+func (r *Registry) Report(now model.Instant, target fleet.Target, coldLeft time.Duration, writtenAfter model.Instant) bool {
 	if r.IsOutdated(now, target) {
 		return false
 	}
+	isReachable := r.endFailure(target.Incarnation(), writtenAfter)
 	r.lastReports[target.Incarnation()] = lastReport{number: target.Report, at: now}
 	target.Region = r.regions[target.Zone]
 	if coldLeft > 0 {
@@ -118,7 +122,7 @@
 		r.version++
 		return true
 	}
-	changed := known.dropAt != 0 || known.failedAt != 0 || !sameTarget(known.target, target) ||
+	changed := known.dropAt != 0 || isReachable || !sameTarget(known.target, target) ||
 		target.ColdUntil > known.sharedColdUntil.Add(coldTolerance)
 	if known.target.Service != target.Service {
 		r.byService = nil
@@ -128,7 +132,6 @@
 	known.setColdSince(now, former)
 	known.readAt = now
 	known.dropAt = 0
-	known.failedAt = 0
 	if changed {
 		known.sharedColdUntil = target.ColdUntil
 		r.version++
@@ -136,6 +139,17 @@
 	return changed
 }
 
+// endFailure ends the failure of an incarnation that has written a registration since, and reports whether it did. An earlier
+// registration does not show that the process still runs.
+func (r *Registry) endFailure(incarnation fleet.Incarnation, writtenAfter model.Instant) bool {
+	failedAt, failed := r.failed[incarnation]
+	if !failed || writtenAfter < failedAt {
+		return false
+	}
+	delete(r.failed, incarnation)
+	return true
+}
+
 // setColdSince records when a cold start became known, unless the former registration was in the same one.
 func (e *entry) setColdSince(now model.Instant, former fleet.Target) {
 	if e.target.ColdUntil <= now {
@@ -251,6 +265,11 @@
 			delete(r.leaving, incarnation)
 		}
 	}
+	for incarnation, at := range r.failed {
+		if !r.isListed(incarnation) && now.Sub(at) >= lateReportLimit {
+			delete(r.failed, incarnation)
+		}
+	}
 	for incarnation, last := range r.lastReports {
 		if !r.isListed(incarnation) && now.Sub(last.at) >= lateReportLimit {
 			delete(r.lastReports, incarnation)
@@ -290,20 +309,21 @@
 	return zones
 }
 
-// RecordFailure records that this VM could not reach an incarnation of a target. The target gets no more requests from
-// this VM until its next report, which also shows whether it restarted and is cold.
+// RecordFailure records that this VM could not reach an incarnation of a target. It gets no more requests from this VM until
+// it has written another report, which shows that it has not restarted and become cold; a later incarnation gets requests at
+// once.
 func (r *Registry) RecordFailure(now model.Instant, incarnation fleet.Incarnation) {
-	if known := r.entries[incarnation.ID]; known != nil && known.target.StartedAtMillis == incarnation.StartedAtMillis {
-		known.failedAt = now
+	if r.isListed(incarnation) {
+		r.failed[incarnation] = now
 	}
 }
 
 // FailedTargets returns the IDs of the targets that could not be reached and have not reported since.
 func (r *Registry) FailedTargets() []model.TargetID {
 	var failed []model.TargetID
-	for id, e := range r.entries {
-		if e.failedAt != 0 {
-			failed = append(failed, id)
+	for incarnation := range r.failed {
+		if r.isListed(incarnation) {
+			failed = append(failed, incarnation.ID)
 		}
 	}
 	return failed
@@ -328,7 +348,7 @@
 	switch {
 	case r.isLeaving(e):
 		return Unavailable
-	case e.failedAt != 0:
+	case r.hasFailed(e):
 		return Unavailable
 	case r.restoredAt[e.target.Zone] != 0 && now.Sub(r.restoredAt[e.target.Zone]) < zoneRestoreDelay:
 		return Unavailable
@@ -374,6 +394,11 @@
 	return entry
 }
 
+func (r *Registry) hasFailed(e *entry) bool {
+	_, failed := r.failed[e.target.Incarnation()]
+	return failed
+}
+
 func (r *Registry) isLeaving(e *entry) bool {
 	_, marked := r.leaving[e.target.Incarnation()]
 	return marked || e.target.Draining || r.evacuated[e.target.Zone]
