Check a target's health when registrations are out of date

A VM that neither the store nor the leader reaches goes by its last registrations. When the connections to a target are closed or reset because it restarted, the VM opens new ones, and nothing tells it that the process is another one, which is cold; the rest of the cold start in the response of the health path was not read. What the target saw: full load right after its start, from each such VM.

Change: connections are numbered in the order in which they were opened and stay with their process. A VM notes the last one at each confirmation of the topic of targets. Once that is 2.5 s old, a request is not sent over a later connection to a target that counts as warm: the VM asks the target's health path first, over the pool's connections, and sends then. The registry learns the result: cold (RecordColdStart; a registration from before does not end it), another ID or no connection (as after a failed request), 503 or no response (no requests for 0.5 s, 0.1 s if it was only full). Concurrent requests for an address share a check, and its time counts towards the deadline that the target gets. Values that are invalid are ignored with a log line. While the topic is confirmed there is no check (asserted in startCutOffVM).

503 is not recorded as a failure: that would last until the next report, which a VM out of touch does not get, while the target may only be full.

Not covered: a target that becomes cold again without restarting while a VM is out of touch, as its connections stay open; one that restarts within 2.5 s of the last confirmation, or between its start and its first registration while in touch; services without a health path.

New: metric health_checks, log lines "target checked" and "invalid value in a health check ignored".

Checked: go test of gateway, registry, upstream, platform, hub and retry.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -176,21 +176,11 @@
 	ended := g.metrics.attempt()
 	go func() {
 		defer ended()
-		unavailable := false
-		call.BeforeSend = func() error {
-			refusal := g.checkSend(service, &chosen)
-			if unavailable = refusal != sendAccepted; unavailable {
-				g.metrics.refusedSend(refusal.String())
-				return errTargetUnavailable
-			}
-			if err := watch.beforeSend(); err != nil {
-				return err
-			}
-			g.logColdSend(call.AttemptID, chosen.target.Incarnation(), now)
-			return nil
+		response, refusal, err := g.send(ctx, call, service, &chosen, watch, now)
+		unavailable := refusal != sendAccepted
+		if unavailable {
+			g.metrics.refusedSend(refusal.String())
 		}
-		call.OnPause = func(pause time.Duration) { g.recordPause(chosen.target.Incarnation(), pause) }
-		response, err := g.targets.Do(ctx, chosen.target.Address, call)
 		end := g.clock.Now()
 		if unavailable && budgetedAt != 0 {
 			g.budget(service).Return(budgetedAt)
@@ -206,6 +196,37 @@
 	}()
 }
 
+// send sends a call to the target that was chosen for it at placedAt. It returns why the call was not sent if its target may not
+// get it any more.
+func (g *gateway) send(
+	ctx context.Context, call *platform.Call, service model.Service, chosen *placement, watch *callerWatch, placedAt model.Instant,
+) (response *platform.Response, refusal sendRefusal, err error) {
+	unverified, timeLeft := uint64(0), call.TimeLeft
+	call.BeforeSend = func(connection uint64) error {
+		if refusal = g.checkSend(service, chosen, connection); refusal != sendAccepted {
+			unverified = connection
+			return errTargetUnavailable
+		}
+		if err := watch.beforeSend(); err != nil {
+			return err
+		}
+		g.logColdSend(call.AttemptID, chosen.target.Incarnation(), placedAt)
+		return nil
+	}
+	call.OnPause = func(pause time.Duration) { g.recordPause(chosen.target.Incarnation(), pause) }
+	response, err = g.targets.Do(ctx, chosen.target.Address, call)
+	for range maxVerifications {
+		path := g.state.config.Load().Services[service].HealthPath
+		if refusal != refusedUnverified || !g.verify(ctx, path, &chosen.target, unverified) {
+			break
+		}
+		refusal = sendAccepted
+		call.TimeLeft = timeLeft - g.clock.Now().Sub(placedAt)
+		response, err = g.targets.Do(ctx, chosen.target.Address, call)
+	}
+	return response, refusal, err
+}
+
 // errTargetUnavailable reports that a target may not get a request any more, found immediately before it was sent.
 var errTargetUnavailable = errors.New("target may not get the request any more")
 
@@ -223,17 +244,21 @@
 	refusedPaused
 	// refusedCold means that the target is cold and that its limit leaves no request for this VM now.
 	refusedCold
+	// refusedUnverified means that the target may have restarted before the connection was opened, and that this VM has no
+	// registrations since.
+	refusedUnverified
 )
 
 func (r sendRefusal) String() string {
-	return [...]string{"accepted", "gone", "unavailable", "paused", "cold"}[r]
+	return [...]string{"accepted", "gone", "unavailable", "paused", "cold", "unverified"}[r]
 }
 
 // checkSend decides whether a request of a service may still be sent to the target that was chosen for it. It is called
-// immediately before the first byte, because the request may have waited for a connection since.
-func (g *gateway) checkSend(service model.Service, chosen *placement) sendRefusal {
+// immediately before the first byte over a connection, because the request may have waited for a connection since.
+func (g *gateway) checkSend(service model.Service, chosen *placement, connection uint64) sendRefusal {
 	now := g.clock.Now()
 	incarnation := chosen.target.Incarnation()
+	config := g.state.config.Load().Services[service]
 	entry, found := g.state.lookup(now, incarnation.ID)
 	if !found || entry.Target.Incarnation() != incarnation {
 		return refusedGone
@@ -244,13 +269,16 @@
 	case registry.Paused:
 		return refusedPaused
 	case registry.Cold:
-		config := g.state.config.Load().Services[service]
 		if !chosen.coldAllowed && !g.allowCold(now, config, incarnation, true) {
 			return refusedCold
 		}
 		if !g.cold.send(now, incarnation, g.coldSends(now, config)) {
 			return refusedCold
 		}
+	case registry.Serving:
+		if config.HealthPath != "" && !g.verified.includes(now, incarnation, connection) {
+			return refusedUnverified
+		}
 	}
 	return sendAccepted
 }
--- a/internal/gateway/availability_test.go
+++ b/internal/gateway/availability_test.go
@@ -93,7 +93,7 @@
 	leaving, _ := f.gateway.state.lookup(now, "d-1")
 	paused, _ := f.gateway.state.lookup(now, "d-2")
 	check := func(entry registry.Entry) sendRefusal {
-		return f.gateway.checkSend("desk", &placement{target: entry.Target})
+		return f.gateway.checkSend("desk", &placement{target: entry.Target}, 1)
 	}
 	assert.Equal(t, sendAccepted, check(leaving))
 	f.gateway.markLeaving(leaving.Target.Incarnation(), "response to a request")
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -80,6 +80,8 @@
 	applyDelta func(now model.Instant, record platform.Record) bool
 	// onRead is called after each read up to the end of the topic, with an instant at which it ended at the offset end.
 	onRead func(known model.Instant, end uint64)
+	// onEnd is called when this VM's state is known to have included the whole topic at an instant.
+	onEnd func(at model.Instant)
 
 	// failing is true while the last read failed.
 	failing bool
@@ -348,8 +350,12 @@
 
 // setEnd records that the topic ended at an offset at an instant or before. The caller must hold mu.
 func (f *topicFollower) setEnd(at model.Instant, offset uint64) {
-	if at > f.endedAt {
-		f.endedAt, f.endOffset = at, offset
+	if at <= f.endedAt {
+		return
+	}
+	f.endedAt, f.endOffset = at, offset
+	if f.onEnd != nil {
+		f.onEnd(at)
 	}
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -128,6 +128,11 @@
 	m.count(counterKey{name: "sends_refused", label: "reason", value: reason})
 }
 
+// healthCheck counts a health check of a target by its result.
+func (m *metrics) healthCheck(state string) {
+	m.count(counterKey{name: "health_checks", label: "result", value: state})
+}
+
 // slowDelivery counts a response that was cut off because its caller read too slowly.
 func (m *metrics) slowDelivery() {
 	m.count(counterKey{name: "deliveries_cut", label: "reason", value: "timeout"})
--- a/internal/gateway/role.go
+++ b/internal/gateway/role.go
@@ -92,7 +92,10 @@
 	load      *keyLoad
 	work      *keyWork
 	watched   *watchList
-	hub       *hub.Server
+	// verified holds which connections lead to a known process; healthChecks serializes the health checks of an address.
+	verified     *verifiedConnections
+	healthChecks *addressLocks
+	hub          *hub.Server
 	// dialLeader opens the link to the leader at an address; tests slow or cut it.
 	dialLeader func(ctx context.Context, address string) (*hub.Client, error)
 	outage     *storeOutage
@@ -154,7 +157,7 @@
 		store: platform.NewStore(settings.StoreAddress), targets: newTargetClient(settings.bodyMemory()),
 		state: newState(regions), picker: picker.New(rand.Float64), work: newKeyWork(),
 		dialLeader: hub.Dial, reportNow: make(chan struct{}, 1), outage: newStoreOutage(),
-		watched: newWatchList(), split: newSplitter(), cold: newColdLimiter(), deadlines: newDeadlineTracker(),
+		watched: newWatchList(), verified: newVerifiedConnections(), healthChecks: newAddressLocks(), split: newSplitter(), cold: newColdLimiter(), deadlines: newDeadlineTracker(),
 		budgets: map[model.Service]budget{}, throttle: throttle.New(), unheld: newUnheldRanges(),
 		quarantine: quarantine.New(quarantine.Options{StrikesToBlock: strikesToBlock}), strikes: newSharedStrikes(),
 		runs: quarantine.NewRuns(), callerBodies: bounds.NewBodyMemory(settings.callerBodyMemory()),
--- a/internal/gateway/topics.go
+++ b/internal/gateway/topics.go
@@ -83,6 +83,7 @@
 		readInterval: func() time.Duration { return targetsReadInterval },
 		pollWait:     func() time.Duration { return 0 },
 	}
+	f.onEnd = func(at model.Instant) { g.verified.confirmAll(at, g.targets.Pool().LastConnectionID()) }
 	f.applyList = func(now model.Instant, page platform.Page) []relayedRecord {
 		return g.listTargets(now, page, f.writtenAfter)
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -40,6 +40,8 @@
 	sharedColdUntil model.Instant
 	// coldSince is when this VM learned of the target's current cold start; 0 if there was none.
 	coldSince model.Instant
+	// checkedAt is when the target last stated its cold start to this VM itself; 0 if it did not.
+	checkedAt model.Instant
 	// readAt is when the last report of the target was read.
 	readAt model.Instant
 	// dropAt is when an expired entry is dropped; 0 if it has not expired.
@@ -122,6 +124,10 @@
 		r.version++
 		return true
 	}
+	if known.target.Incarnation() == target.Incarnation() && writtenAfter < known.checkedAt {
+		// The report may be from before the cold start that the target has stated itself.
+		target.ColdUntil = max(target.ColdUntil, known.target.ColdUntil)
+	}
 	changed := known.dropAt != 0 || isReachable || !sameTarget(known.target, target) ||
 		target.ColdUntil > known.sharedColdUntil.Add(coldTolerance)
 	if known.target.Service != target.Service {
@@ -318,6 +324,20 @@
 	}
 }
 
+// RecordColdStart records that an incarnation stated to this VM that it is cold for another coldLeft. A registration from before
+// that does not end the cold start.
+func (r *Registry) RecordColdStart(now model.Instant, incarnation fleet.Incarnation, coldLeft time.Duration) {
+	if !r.isListed(incarnation) {
+		return
+	}
+	known := r.entries[incarnation.ID]
+	former := known.target
+	known.target.ColdUntil = max(known.target.ColdUntil, now.Add(coldLeft))
+	known.setColdSince(now, former)
+	known.checkedAt = now
+	r.version++
+}
+
 // FailedTargets returns the IDs of the targets that could not be reached and have not reported since.
 func (r *Registry) FailedTargets() []model.TargetID {
 	var failed []model.TargetID
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -283,3 +283,23 @@
 	report(r, at(7*time.Second), restarted, 3*time.Second)
 	assert.Zero(t, coldFor(7*time.Second), "a new incarnation")
 }
+
+// Guards against full load on a target that has stated itself that it is cold: a registration from before that was read later.
+func TestReportFromBeforeAStatedColdStartDoesNotEndIt(t *testing.T) {
+	r := newRegistry()
+	report(r, at(0), target("x"), 0)
+	incarnation := fleet.Incarnation{ID: "x", StartedAtMillis: 7}
+	r.RecordColdStart(at(time.Second), incarnation, 5*time.Second)
+	r.RecordColdStart(at(time.Second), fleet.Incarnation{ID: "x", StartedAtMillis: 6}, time.Hour)
+	state := func(now time.Duration) State {
+		entry, _ := r.Lookup(at(now), "x")
+		return entry.State
+	}
+	assert.Equal(t, Cold, state(2*time.Second))
+	r.Report(at(2*time.Second), target("x"), 0, at(999*time.Millisecond))
+	assert.Equal(t, Cold, state(2*time.Second))
+	assert.Equal(t, Serving, state(6*time.Second), "it ends when the target said")
+	r.RecordColdStart(at(7*time.Second), incarnation, 5*time.Second)
+	r.Report(at(8*time.Second), target("x"), 0, at(7500*time.Millisecond))
+	assert.Equal(t, Serving, state(8*time.Second), "a later report is newer")
+}
--- a/internal/standin/platformstub/target.go
+++ b/internal/standin/platformstub/target.go
@@ -54,6 +54,9 @@
 	ended bool
 	// startedAtMillis is the start of the process that the target registers, in Unix milliseconds.
 	startedAtMillis int64
+	// coldLeft is the rest of the cold start that health checks state; checks counts them.
+	coldLeft time.Duration
+	checks   int
 	// arrivals counts the requests, including rejected ones.
 	arrivals int
 	work     time.Duration
@@ -99,6 +102,23 @@
 	t.startedAtMillis = millis
 }
 
+// SetColdLeft sets the rest of the cold start that the target states in its responses to health checks.
+func (t *Target) SetColdLeft(left time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.coldLeft = left
+}
+
+// Restart closes all connections to the target, as a restart at the same address does.
+func (t *Target) Restart() { t.server.CloseClientConnections() }
+
+// HealthChecks returns the number of health checks that have arrived.
+func (t *Target) HealthChecks() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.checks
+}
+
 // CrashOn makes the target's process end when the target begins to run a request for which crashes returns true: it closes
 // all connections without a response and refuses new ones.
 func (t *Target) CrashOn(crashes func(*http.Request) bool) {
@@ -162,11 +182,26 @@
 	switch request.URL.Path {
 	case "/grant", "/release":
 		t.command(w, request)
+	case "/health":
+		t.health(w)
 	default:
 		t.request(w, request)
 	}
 }
 
+func (t *Target) health(w http.ResponseWriter) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.checks++
+	w.Header().Set("X-Tarragonpoint-Instance-Id", t.ID)
+	if t.coldLeft > 0 {
+		w.Header().Set("X-Tarragonpoint-Warmup-Ms", strconv.FormatInt(t.coldLeft.Milliseconds(), 10))
+	}
+	if t.mode == Shed {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 func (t *Target) command(w http.ResponseWriter, request *http.Request) {
 	var body struct {
 		From  int    `json:"from"`
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -71,9 +71,10 @@
 	// Wanted ends when nobody waits for the response any more. Until the first byte of the request is sent, that ends the
 	// request with ErrAbandoned; later it has no effect. nil never ends.
 	Wanted context.Context
-	// BeforeSend is called once there is a connection, immediately before the first byte of the request is sent. If it
-	// returns an error, the request ends with ErrAbandoned. nil calls nothing.
-	BeforeSend func() error
+	// BeforeSend is called once there is a connection, immediately before the first byte of the request is sent, with the
+	// connection's ID; connections that are opened later have higher IDs. If it returns an error, the request ends with
+	// ErrAbandoned. nil calls nothing.
+	BeforeSend func(connectionID uint64) error
 	// ReplaceClosed opens a new connection as soon as the target closes the connection after its response.
 	ReplaceClosed bool
 	// Matches reports whether a response with this head belongs to the request; nil accepts all responses.
@@ -94,14 +95,14 @@
 func (r *Request) abandoned() bool { return r.Wanted != nil && r.Wanted.Err() != nil }
 
 // confirm returns ErrAbandoned unless the request is still wanted now that there is a connection for it.
-func (r *Request) confirm() error {
+func (r *Request) confirm(connectionID uint64) error {
 	if r.abandoned() {
 		return ErrAbandoned.Wrap(r.Wanted.Err(), "request is not wanted any more")
 	}
 	if r.BeforeSend == nil {
 		return nil
 	}
-	if err := r.BeforeSend(); err != nil {
+	if err := r.BeforeSend(connectionID); err != nil {
 		return ErrAbandoned.Wrap(err, "request is not wanted any more")
 	}
 	return nil
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -82,7 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := request.confirm(); err != nil {
+	if err := request.confirm(c.id); err != nil {
 		p.returnUnused(address, c)
 		return nil, err
 	}
@@ -163,6 +163,13 @@
 	return c.id
 }
 
+// LastConnectionID returns the ID of the connection that was opened last; 0 if there was none.
+func (p *Pool) LastConnectionID() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.counters.Opened
+}
+
 // HasIdle reports whether there is an idle connection to an address. It may have been closed by the target since.
 func (p *Pool) HasIdle(address string) bool {
 	p.mu.Lock()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -286,7 +286,7 @@
 	}}})
 	request := get("1")
 	request.Wanted = wanted
-	request.BeforeSend = func() error {
+	request.BeforeSend = func(uint64) error {
 		t.Error("the request is sent")
 		return nil
 	}
@@ -361,7 +361,7 @@
 		}
 	})
 	request := get("1")
-	request.BeforeSend = func() error { return context.Canceled }
+	request.BeforeSend = func(uint64) error { return context.Canceled }
 	pool := NewPool(Options{})
 	_, err := do(t, pool, address, request)
 	assert.True(t, errorx.IsOfType(err, ErrAbandoned), "%v", err)
