--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -58,6 +58,8 @@
 
 	mu   sync.Mutex
 	next map[fleet.Incarnation]model.Instant
+	// sends holds the requests that have left; it has a lock of its own.
+	sends sendTimes
 }
 
 func newColdLimiter(held func(now model.Instant, group, first int) int) *coldLimiter {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -40,12 +40,12 @@
 	sharedColdUntil model.Instant
 	// coldSince is when this VM learned of the target's current cold start; 0 if there was none.
 	coldSince model.Instant
+	// checkedAt is when the target last stated its cold start to this VM itself; 0 if it did not.
+	checkedAt model.Instant
 	// readAt is when the last report of the target was read.
 	readAt model.Instant
 	// dropAt is when an expired entry is dropped; 0 if it has not expired.
 	dropAt model.Instant
-	// failedAt is when this VM last found the target unreachable; the next report clears it.
-	failedAt model.Instant
 }
 
 // lastReport is the number of an incarnation's last report, and when it was read.
@@ -72,6 +72,9 @@
 	leaving map[fleet.Incarnation]model.Instant
 	// lastReports holds the last report of each incarnation, also after its entry was removed.
 	lastReports map[fleet.Incarnation]lastReport
+	// failed holds when this VM last found an incarnation unreachable. It is kept apart from the entries, because a late
+	// report may bring back an entry that was removed.
+	failed map[fleet.Incarnation]model.Instant
 	// paused holds until when an incarnation wants no requests from this VM.
 	paused map[fleet.Incarnation]model.Instant
 }
@@ -83,6 +86,7 @@
 		evacuated: map[model.Zone]bool{}, restoredAt: map[model.Zone]model.Instant{},
 		lastReports: map[fleet.Incarnation]lastReport{},
 		leaving:     map[fleet.Incarnation]model.Instant{}, paused: map[fleet.Incarnation]model.Instant{},
+		failed: map[fleet.Incarnation]model.Instant{},
 	}
 }
 
@@ -98,12 +102,14 @@
 	r.outage = !available
 }
 
-// Report records a registration. coldLeft is the remaining duration of the target's cold start. Report returns true if
-// more changed than the time of the report, or the target stays cold for longer. It ignores outdated reports.
-func (r *Registry) Report(now model.Instant, target fleet.Target, coldLeft time.Duration) bool {
+// Report records a registration. coldLeft is the remaining duration of the target's cold start; writtenAfter is an instant
+// before which the registration was not written, or 0 if none is known. Report returns true if more changed than the time of
+// the report, or the target stays cold for longer. It ignores outdated reports.
+func (r *Registry) Report(now model.Instant, target fleet.Target, coldLeft time.Duration, writtenAfter model.Instant) bool {
 	if r.IsOutdated(now, target) {
 		return false
 	}
+	isReachable := r.endFailure(target.Incarnation(), writtenAfter)
 	r.lastReports[target.Incarnation()] = lastReport{number: target.Report, at: now}
 	target.Region = r.regions[target.Zone]
 	if coldLeft > 0 {
@@ -118,7 +124,11 @@
 		r.version++
 		return true
 	}
-	changed := known.dropAt != 0 || known.failedAt != 0 || !sameTarget(known.target, target) ||
+	if known.target.Incarnation() == target.Incarnation() && writtenAfter < known.checkedAt {
+		// The report may be from before the cold start that the target has stated itself.
+		target.ColdUntil = max(target.ColdUntil, known.target.ColdUntil)
+	}
+	changed := known.dropAt != 0 || isReachable || !sameTarget(known.target, target) ||
 		target.ColdUntil > known.sharedColdUntil.Add(coldTolerance)
 	if known.target.Service != target.Service {
 		r.byService = nil
@@ -128,7 +138,6 @@
 	known.setColdSince(now, former)
 	known.readAt = now
 	known.dropAt = 0
-	known.failedAt = 0
 	if changed {
 		known.sharedColdUntil = target.ColdUntil
 		r.version++
@@ -136,6 +145,17 @@
 	return changed
 }
 
+// endFailure ends the failure of an incarnation that has written a registration since, and reports whether it did. An earlier
+// registration does not show that the process still runs.
+func (r *Registry) endFailure(incarnation fleet.Incarnation, writtenAfter model.Instant) bool {
+	failedAt, failed := r.failed[incarnation]
+	if !failed || writtenAfter < failedAt {
+		return false
+	}
+	delete(r.failed, incarnation)
+	return true
+}
+
 // setColdSince records when a cold start became known, unless the former registration was in the same one.
 func (e *entry) setColdSince(now model.Instant, former fleet.Target) {
 	if e.target.ColdUntil <= now {
@@ -251,6 +271,11 @@
 			delete(r.leaving, incarnation)
 		}
 	}
+	for incarnation, at := range r.failed {
+		if !r.isListed(incarnation) && now.Sub(at) >= lateReportLimit {
+			delete(r.failed, incarnation)
+		}
+	}
 	for incarnation, last := range r.lastReports {
 		if !r.isListed(incarnation) && now.Sub(last.at) >= lateReportLimit {
 			delete(r.lastReports, incarnation)
@@ -290,20 +315,35 @@
 	return zones
 }
 
-// RecordFailure records that this VM could not reach an incarnation of a target. The target gets no more requests from
-// this VM until its next report, which also shows whether it restarted and is cold.
+// RecordFailure records that this VM could not reach an incarnation of a target. It gets no more requests from this VM until
+// it has written another report, which shows that it has not restarted and become cold; a later incarnation gets requests at
+// once.
 func (r *Registry) RecordFailure(now model.Instant, incarnation fleet.Incarnation) {
-	if known := r.entries[incarnation.ID]; known != nil && known.target.StartedAtMillis == incarnation.StartedAtMillis {
-		known.failedAt = now
+	if r.isListed(incarnation) {
+		r.failed[incarnation] = now
 	}
 }
 
+// RecordColdStart records that an incarnation stated to this VM that it is cold for another coldLeft. A registration from before
+// that does not end the cold start.
+func (r *Registry) RecordColdStart(now model.Instant, incarnation fleet.Incarnation, coldLeft time.Duration) {
+	if !r.isListed(incarnation) {
+		return
+	}
+	known := r.entries[incarnation.ID]
+	former := known.target
+	known.target.ColdUntil = max(known.target.ColdUntil, now.Add(coldLeft))
+	known.setColdSince(now, former)
+	known.checkedAt = now
+	r.version++
+}
+
 // FailedTargets returns the IDs of the targets that could not be reached and have not reported since.
 func (r *Registry) FailedTargets() []model.TargetID {
 	var failed []model.TargetID
-	for id, e := range r.entries {
-		if e.failedAt != 0 {
-			failed = append(failed, id)
+	for incarnation := range r.failed {
+		if r.isListed(incarnation) {
+			failed = append(failed, incarnation.ID)
 		}
 	}
 	return failed
@@ -328,7 +368,7 @@
 	switch {
 	case r.isLeaving(e):
 		return Unavailable
-	case e.failedAt != 0:
+	case r.hasFailed(e):
 		return Unavailable
 	case r.restoredAt[e.target.Zone] != 0 && now.Sub(r.restoredAt[e.target.Zone]) < zoneRestoreDelay:
 		return Unavailable
@@ -374,6 +414,11 @@
 	return entry
 }
 
+func (r *Registry) hasFailed(e *entry) bool {
+	_, failed := r.failed[e.target.Incarnation()]
+	return failed
+}
+
 func (r *Registry) isLeaving(e *entry) bool {
 	_, marked := r.leaving[e.target.Incarnation()]
 	return marked || e.target.Draining || r.evacuated[e.target.Zone]
