--- a/internal/gateway/reports_test.go
+++ b/internal/gateway/reports_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/tarragonpoint/tarragonpoint/internal/hub"
 	"github.com/tarragonpoint/tarragonpoint/internal/keyspace"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
 	"github.com/tarragonpoint/tarragonpoint/internal/registry"
@@ -138,3 +139,27 @@
 	require.Eventually(t, hasRead, shareTime, time.Millisecond)
 	assert.False(t, g.leadershipConfirmed(g.clock.Now()))
 }
+
+// Guards against units that a former leader granted and a new one grants to others, because the new one could not decode the
+// assignment of the former.
+func TestLeaderAfterAnUndecodedAssignmentWaitsForFormerLeases(t *testing.T) {
+	t.Parallel()
+	f := startFixture(t)
+	g := f.newVM("vm-2")
+	c, started := g.controller, g.clock.Now()
+	const offset = 3
+	c.manager.TableRead(started, nil, offset)
+	table := &keyspace.Table{Leader: c.self, Offset: offset}
+	c.manager.Appended(started, started, table.Clone())
+	c.step(t.Context())
+	require.True(t, c.isLeader.Load())
+	g.state.setTable(table)
+	follower := g.follower(topicAssignment)
+	for g.clock.Now().Sub(started) < shares.LeaseTTL {
+		time.Sleep(hub.ReportInterval)
+		follower.nextOffset, follower.newestAt = offset+1, g.clock.Now()
+		_, grant := g.hub.HandleOwnReport(g.report(false))
+		require.NotZero(t, grant.Number)
+		require.Empty(t, grant.Units)
+	}
+}
