Wait for former leases if the topic of the assignment has earlier records

A VM that could decode none of them granted units 2 s after it became the leader, while leases of a former one lasted. Fails before: TestLeaderAfterAnUndecodedAssignmentWaitsForFormerLeases.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -135,7 +135,8 @@
 	now := c.gw.clock.Now()
 	if leader := c.manager.Table().Leader; leader != c.tableLeader {
 		if leader == c.self {
-			c.gw.hub.BeginTerm(c.tableLeader != "")
+			// Records before the table may be those of leaders that this VM could not decode.
+			c.gw.hub.BeginTerm(c.tableLeader != "" || c.manager.Table().Offset > 0)
 		}
 		c.tableLeader = leader
 	}
