Play late, repeated and reordered state in the simulation of the keyspace

The simulation was simpler than the platform: reads of the store took no time unless the whole store was slow, one at a time; relayed tables came in order or not at all; a VM had one connection to a target, whose host never refused one; a release ended at once; there was one service; configurations and registrations were known at once to all VMs, and so was the elected VM. A release whose response was altered had always been executed.

The manager gets tables and reads in any order, without the check of offsets that the follower of the gateway makes before it. Further faults come in groups that have to meet to show the loss of a rule: the leader with the targets of a region cut from all others (island), planned stops of leaders (roll), paused leaders, targets that flap, a process at a target's address that executes some commands and rejects all (proxy), a zone that is out of service. There are one or two services, and an address may change to a target of the other one.

The oracle also remembers every fence under which any incarnation got a key, whether it is still up or not.

While it was written, two findings were faults of the simulation itself and are corrected: a refused connection arrived faster than the saturated link, which proves nothing, and a service could be left with one target, whose keys nobody else can take over.

--- a/internal/keyspace/fuzz_test.go
+++ b/internal/keyspace/fuzz_test.go
@@ -14,15 +14,16 @@
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
 )
 
-// Verifies that under any series of faults no key has two holders and the fences of a key increase, and that every key
-// has a holder again after the faults have ended.
+// Verifies that under any series of faults and disorders no key has two holders and the fences of a key increase, and that
+// every key has a holder again after they have ended.
 func TestOneHolderUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		sim := newSimulation(rapid.Uint64().Draw(t, "seed"), 3, 5)
+		sim := drawSimulation(t)
 		sim.run(2 * time.Second)
+		names := sim.drawFaultNames(t)
 		steps := rapid.IntRange(3, 25).Draw(t, "steps")
 		for i := 0; i < steps; i++ {
-			sim.fault(t)
+			sim.faultOf(t, names)
 			sim.run(time.Duration(rapid.IntRange(1, 200).Draw(t, "pause")) * 20 * time.Millisecond)
 			if sim.violation != "" {
 				t.Fatalf("after %d steps: %s", i+1, sim.violation)
@@ -43,9 +44,29 @@
 	})
 }
 
-// fault starts or ends one fault.
-func (sim *simulation) fault(t *rapid.T) {
-	sim.faultOf(t, slices.Sorted(maps.Keys(sim.faults(0, 0, false))))
+// drawSimulation returns a simulation with one or two services in which some disorders are active from the start.
+func drawSimulation(t *rapid.T) *simulation {
+	services := []model.Service{simulatedService, otherService}[:rapid.IntRange(1, 2).Draw(t, "services")]
+	sim := newSimulationOf(rapid.Uint64().Draw(t, "seed"), 3, 4+len(services), services...)
+	sim.stepEvery = leaderStep
+	for _, kind := range playedDisorders() {
+		sim.disorders[kind] = rapid.IntRange(0, 3).Draw(t, kind.String()) == 3
+	}
+	return sim
+}
+
+// leaderStep is the time between two steps of the platform's managers.
+const leaderStep = 40 * time.Millisecond
+
+// drawFaultNames returns the faults of a case: all, or those that have to come together to show the loss of a rule.
+func (sim *simulation) drawFaultNames(t *rapid.T) []string {
+	groups := [][]string{
+		slices.Sorted(maps.Keys(sim.faults(0, 0, false))),
+		{"island", "island", "roll", "roll", "leader-pause", "leader-pause", "congestion", "zone-lapse", "store-cut", "restart", "vm-kill", "proxy"},
+		{"flap", "flap", "flap", "roll", "service", "service", "path", "leader-pause", "restart", "reuse", "lapse", "proxy", "all-healed"},
+		{"proxy", "path", "false", "lapse", "kill", "flap", "roll", "congestion", "restart", "slow", "all-healed"},
+	}
+	return groups[rapid.IntRange(0, len(groups)-1).Draw(t, "faults")]
 }
 
 // faultOf starts or ends one of the named faults.
@@ -58,7 +79,7 @@
 
 // faults returns the functions that start or end each fault.
 func (sim *simulation) faults(vm, target int, on bool) map[string]func() {
-	return map[string]func(){
+	faults := map[string]func(){
 		"store":      func() { sim.storeDown = on },
 		"store-cut":  func() { sim.storeCut[vm] = on },
 		"store-slow": func() { sim.storeSlow = on },
@@ -72,13 +93,34 @@
 		"reuse":      func() { sim.restartTarget(sim.targets[target], true) },
 		"lapse":      func() { sim.targets[target].registered = on },
 		"slow":       func() { sim.slow = on },
-		"service":    func() { sim.unconfigured = on },
+		"service":    func() { sim.unconfigured[sim.services[target%len(sim.services)]] = on },
 		"resign":     func() { sim.resign(vm) },
 		"congestion": func() { sim.linkDelay[target%simulatedRegions] = congestion(on, vm) },
 		"unusable":   func() { sim.targets[target].unusable = on },
 		"false":      func() { sim.falseResponses = on },
+		"proxy":      func() { sim.proxied[target] = on },
+		"flap":       func() { sim.flap(target, 1+vm) },
+		"island":     func() { sim.cutIsland(target % simulatedRegions) },
+		"roll":       func() { sim.roll() },
+		"zone-lapse": func() { sim.lapseZone(target%simulatedRegions, on) },
+		"leader-pause": func() {
+			sim.pauseLeader(time.Duration(1+target) * 1700 * time.Millisecond)
+		},
+		"zone":       func() { sim.setZoneUnusable(target%simulatedRegions, on) },
 		"all-healed": sim.heal,
 	}
+	for _, kind := range playedDisorders() {
+		faults[kind.String()] = func() { sim.disorders[kind] = on }
+	}
+	return faults
+}
+
+func (sim *simulation) setZoneUnusable(region int, unusable bool) {
+	for j, target := range sim.targets {
+		if j%simulatedRegions == region {
+			target.unusable = unusable
+		}
+	}
 }
 
 // congestion returns the delay of a saturated link: 0.4 to 6.4 s.
@@ -185,9 +227,9 @@
 	sim.pathCut[[2]int{0, unreachable}] = true
 	sim.targets[unreachable].registered = false
 	sim.run(300 * time.Millisecond)
-	sim.unconfigured = true
+	sim.unconfigured[simulatedService] = true
 	sim.run(300 * time.Millisecond)
-	sim.unconfigured = false
+	sim.unconfigured[simulatedService] = false
 	sim.run(3 * sim.settings.holdBound())
 	assert.Empty(t, sim.violation)
 	assert.Zero(t, sim.unheld())
--- a/internal/keyspace/simulation_test.go
+++ b/internal/keyspace/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -18,10 +19,15 @@
 	random *rand.Rand
 	// storeRandom draws the delays of a slow store and of relayed records.
 	storeRandom *rand.Rand
-	settings    Settings
-	now         model.Instant
-	queue       []delivery
-	seq         int
+	// disorderRandom draws the effects of disorders.
+	disorderRandom *rand.Rand
+	settings       Settings
+	// disorders are the kinds of disorder that are active.
+	disorders [disorderKinds]bool
+	// stepEvery is the time between two steps of a manager.
+	stepEvery time.Duration
+	now       model.Instant
+	queue     []delivery
 
 	log             []*Table
 	targets         []*fakeTarget
@@ -40,10 +46,22 @@
 	linkBusyUntil [simulatedRegions]model.Instant
 	// falseResponses is true while targets send earlier responses once more and alter responses.
 	falseResponses bool
-	// unconfigured is true while the configuration lacks the service.
-	unconfigured bool
-	keys         []int
-	violation    string
+	// proxied holds the targets whose commands meet another process, which executes some of them and rejects all.
+	proxied map[int]bool
+	// services are the services that the targets belong to.
+	services []model.Service
+	// unconfigured holds the services that the configuration lacks.
+	unconfigured map[model.Service]bool
+	// views holds the states of the configuration and the registrations, oldest first.
+	views []datedView
+	// elections is the state of elections that are stale.
+	elections elections
+	// work is how long a target still works on the keys that it is releasing.
+	work time.Duration
+	keys []int
+	// taken holds all grants of each service's keys that took effect.
+	taken     map[model.Service][][]taking
+	violation string
 	// connections counts the opened connections; a connection's ID is its number.
 	connections uint64
 	grants      int
@@ -53,29 +71,37 @@
 
 type delivery struct {
 	at  model.Instant
-	seq int
 	run func()
 }
 
+// hold is the hold of a key; it ended if until has passed. The zero value is that of a key that was never held.
 type hold struct {
 	fence uint64
 	until model.Instant
 }
 
+// taking is the highest fence under which an incarnation got a key.
+type taking struct {
+	incarnation int64
+	fence       uint64
+}
+
 // fakeTarget is one target address. Its process may end and restart under the same ID, or another ID may take over the
 // address.
 type fakeTarget struct {
 	address     string
 	id          model.TargetID
+	service     model.Service
 	incarnation int64
 	up          bool
 	registered  bool
 	// unusable is true for a target that is registered and may not be assigned keys, such as one that is about to stop.
-	unusable   bool
-	seenFences map[int]uint64
-	holds      map[int]hold
-	// formerFences holds the fences under which the previous incarnation of the same ID held keys.
-	formerFences map[int]uint64
+	unusable bool
+	// flapping is how often the target will still become unusable or usable again.
+	flapping int
+	// seenFences and holds have an element for each of the simulation's keys.
+	seenFences []uint64
+	holds      []hold
 }
 
 type fakeConnection struct {
@@ -92,36 +118,52 @@
 	paused  bool
 	// leaving is true for a VM that has resigned and whose process ends soon.
 	leaving bool
-	// connected holds the VM's open connections by the index of their target.
-	connected   map[int]fakeConnection
+	// connected holds the VM's open connections for grants by the index of their target.
+	connected   map[int][]*fakeConnection
 	incarnation int
 	// lastRead is the offset of the newest record that the VM has read, written or been sent by the leader; -1 if none.
 	lastRead int
-	// reading is true while a read of the store is under way.
-	reading bool
+	// reads counts the reads of the store that are under way.
+	reads int
+	// view is the index of the view that the VM has, and viewLag how late it gets views.
+	view    int
+	viewLag time.Duration
+	// older is true for a VM that cannot decode resignations with a bound, like one of an earlier version.
+	older bool
 }
 
 const (
 	simulatedService model.Service = "review"
+	// otherService is the service of every third and fourth target if there are two services.
+	otherService model.Service = "orders"
 	// simulatedRegions is the number of regions, to which the targets belong in turn.
 	simulatedRegions = 2
 )
 
-func regionOf(target int) model.Region {
-	return model.Region(fmt.Sprintf("region-%d", target%simulatedRegions))
-}
+var simulatedRegionNames = [simulatedRegions]model.Region{"region-0", "region-1"}
 
 func newSimulation(seed uint64, vms, targets int) *simulation {
+	return newSimulationOf(seed, vms, targets, simulatedService)
+}
+
+// newSimulationOf returns a simulation whose targets belong to the services in turn, two at a time.
+func newSimulationOf(seed uint64, vms, targets int, services ...model.Service) *simulation {
 	sim := &simulation{
 		random: rand.New(rand.NewPCG(seed, 1)), storeRandom: rand.New(rand.NewPCG(seed, 2)),
-		settings: DefaultSettings(), now: model.Instant(time.Hour),
+		disorderRandom: rand.New(rand.NewPCG(seed, 3)),
+		settings:       DefaultSettings(), now: model.Instant(time.Hour), stepEvery: simulationStep,
 		storeCut: map[int]bool{}, relayCut: map[int]bool{}, pathCut: map[[2]int]bool{},
+		proxied:  map[int]bool{},
+		services: services, unconfigured: map[model.Service]bool{}, taken: map[model.Service][][]taking{},
 	}
-	for i := 0; i < 24; i++ {
+	for i := 0; i < simulatedKeys; i++ {
 		sim.keys = append(sim.keys, sim.random.IntN(Keys))
 	}
+	for _, service := range services {
+		sim.taken[service] = make([][]taking, simulatedKeys)
+	}
 	for i := 0; i < targets; i++ {
-		target := &fakeTarget{address: fmt.Sprintf("10.0.0.%d:80", i)}
+		target := &fakeTarget{address: fmt.Sprintf("10.0.0.%d:80", i), service: services[i/2%len(services)]}
 		sim.targets = append(sim.targets, target)
 		sim.startTarget(target, true)
 	}
@@ -135,30 +177,39 @@
 func (sim *simulation) startTarget(target *fakeTarget, newID bool) {
 	sim.lastIncarnation++
 	target.incarnation = sim.lastIncarnation
-	target.formerFences = map[int]uint64{}
-	for key, held := range target.holds {
-		target.formerFences[key] = held.fence
-	}
 	if newID || target.id == "" {
-		target.formerFences = nil
 		target.id = model.TargetID(fmt.Sprintf("t-%d", sim.lastIncarnation))
 	}
 	target.up, target.registered, target.unusable = true, true, false
-	target.seenFences, target.holds = map[int]uint64{}, map[int]hold{}
+	target.seenFences, target.holds = make([]uint64, simulatedKeys), make([]hold, simulatedKeys)
 }
 
 // restartTarget ends a target's process and starts a new one at its address after restartTime and a random delay. With
-// newID, the new process has another ID.
+// newID, the new process has another ID and may belong to another service.
 func (sim *simulation) restartTarget(target *fakeTarget, newID bool) {
 	target.up = false
 	incarnation := target.incarnation
 	sim.after(restartTime+time.Duration(sim.random.IntN(2000))*time.Millisecond, func() {
-		if target.incarnation == incarnation {
-			sim.startTarget(target, newID)
+		if target.incarnation != incarnation {
+			return
 		}
+		if newID && sim.targetsOf(target.service) > 2 {
+			target.service = sim.services[sim.disorderRandom.IntN(len(sim.services))]
+		}
+		sim.startTarget(target, newID)
 	})
 }
 
+func (sim *simulation) targetsOf(service model.Service) int {
+	count := 0
+	for _, target := range sim.targets {
+		if target.service == service {
+			count++
+		}
+	}
+	return count
+}
+
 // restartTime is the shortest time in which a target's process restarts.
 const restartTime = 3 * time.Second
 
@@ -167,23 +218,35 @@
 	vm.incarnation++
 	vm.name = fmt.Sprintf("vm-%d/%d", i, vm.incarnation)
 	vm.manager = New(sim.settings, vm.name, vm.name, sim.random.Uint64)
-	vm.connected = map[int]fakeConnection{}
-	vm.up, vm.paused, vm.leaving, vm.lastRead, vm.reading = true, false, false, -1, false
+	vm.connected = map[int][]*fakeConnection{}
+	vm.up, vm.paused, vm.leaving, vm.lastRead, vm.reads = true, false, false, -1, 0
+	vm.view, vm.viewLag, vm.older = -1, sim.newViewLag(), sim.disorders[olderVersions] && sim.disorderRandom.IntN(2) == 0
 }
 
 func (sim *simulation) after(delay time.Duration, run func()) {
-	sim.seq++
-	sim.queue = append(sim.queue, delivery{at: sim.now.Add(delay), seq: sim.seq, run: run})
+	at := sim.now.Add(delay)
+	next := sort.Search(len(sim.queue), func(i int) bool { return sim.queue[i].at > at })
+	sim.queue = slices.Insert(sim.queue, next, delivery{at: at, run: run})
 }
 
-// run advances the virtual time in steps of 20 ms.
+const (
+	// simulationStep is the step of the virtual time.
+	simulationStep = 20 * time.Millisecond
+	// simulatedKeys is the number of keys of each service whose holders are checked.
+	simulatedKeys = 24
+)
+
+// run advances the virtual time.
 func (sim *simulation) run(duration time.Duration) {
-	const step = 20 * time.Millisecond
-	for end := sim.now.Add(duration); sim.now < end && sim.violation == ""; sim.now = sim.now.Add(step) {
+	for end := sim.now.Add(duration); sim.now < end && sim.violation == ""; sim.now = sim.now.Add(simulationStep) {
 		sim.deliver()
-		for i, vm := range sim.vms {
-			if vm.up && !vm.paused {
-				sim.stepVM(i, vm)
+		sim.recordView()
+		if sim.now%model.Instant(sim.stepEvery) == 0 {
+			elected := sim.elected()
+			for i, vm := range sim.vms {
+				if vm.up && !vm.paused {
+					sim.stepVM(i, vm, sim.isElected(i, elected))
+				}
 			}
 		}
 		sim.check()
@@ -191,12 +254,6 @@
 }
 
 func (sim *simulation) deliver() {
-	sort.Slice(sim.queue, func(i, j int) bool {
-		if sim.queue[i].at != sim.queue[j].at {
-			return sim.queue[i].at < sim.queue[j].at
-		}
-		return sim.queue[i].seq < sim.queue[j].seq
-	})
 	for len(sim.queue) > 0 && sim.queue[0].at <= sim.now {
 		next := sim.queue[0]
 		sim.queue = sim.queue[1:]
@@ -218,10 +275,10 @@
 	return -1
 }
 
-func (sim *simulation) stepVM(i int, vm *fakeVM) {
-	vm.manager.SetElected(sim.elected() == i)
+func (sim *simulation) stepVM(i int, vm *fakeVM, elected bool) {
+	vm.manager.SetElected(elected)
 	if sim.reachesStore(i) {
-		vm.manager.SetView(sim.view())
+		sim.updateView(vm)
 		sim.startRead(i, vm)
 	}
 	for _, command := range vm.manager.Step(sim.now) {
@@ -249,10 +306,14 @@
 
 // startRead reads the newest record unless a read is under way.
 func (sim *simulation) startRead(i int, vm *fakeVM) {
-	if vm.reading {
+	if sim.disorders[lateReads] {
+		sim.startLateRead(i, vm)
+		return
+	}
+	if vm.reads > 0 {
 		return
 	}
-	vm.reading = true
+	vm.reads++
 	started, lastRead := sim.now, vm.lastRead
 	ended := sim.replyTo(vm)
 	request, response := sim.storeDelay(), sim.storeDelay()
@@ -261,12 +322,12 @@
 		return
 	}
 	if request+response >= storeReadTimeout {
-		sim.after(storeReadTimeout, ended(func() { vm.reading = false }))
+		sim.after(storeReadTimeout, ended(func() { vm.reads-- }))
 		return
 	}
 	sim.after(request, func() {
 		if !sim.reachesStore(i) {
-			sim.after(storeReadTimeout-request, ended(func() { vm.reading = false }))
+			sim.after(storeReadTimeout-request, ended(func() { vm.reads-- }))
 			return
 		}
 		newest := len(sim.log) - 1
@@ -276,7 +337,7 @@
 
 // finishRead applies the result of a read. The VM ignores it if it has got newer records in the meantime.
 func (sim *simulation) finishRead(i int, vm *fakeVM, started model.Instant, lastRead, newest int) {
-	vm.reading = false
+	vm.reads--
 	if vm.lastRead != lastRead {
 		return
 	}
@@ -289,10 +350,14 @@
 
 // applyRecord passes a record to a VM, which relays it to the other VMs if it is the leader.
 func (sim *simulation) applyRecord(i int, vm *fakeVM, offset int) {
-	vm.manager.TableReceived(sim.now, sim.log[offset].Clone())
+	sim.tableReceived(vm, offset)
 	if !vm.manager.IsLeader(sim.now) || sim.relayCut[i] {
 		return
 	}
+	if sim.disorders[lateRelays] {
+		sim.relayLate(i, offset)
+		return
+	}
 	for j, other := range sim.vms {
 		if j == i || sim.relayCut[j] {
 			continue
@@ -304,24 +369,33 @@
 		sim.after(delay, sim.replyTo(other)(func() {
 			if other.lastRead == offset-1 {
 				other.lastRead = offset
-				other.manager.TableReceived(sim.now, sim.log[offset].Clone())
+				sim.tableReceived(other, offset)
 			}
 		}))
 	}
 }
 
+// tableReceived passes a record to a VM unless it cannot decode it.
+func (sim *simulation) tableReceived(vm *fakeVM, offset int) {
+	if table := sim.log[offset]; !vm.older || table.FormerGrants == 0 {
+		vm.manager.TableReceived(sim.now, table.Clone())
+	}
+}
+
 func (sim *simulation) view() View {
-	if sim.unconfigured {
-		return View{}
+	view := View{}
+	for _, service := range sim.services {
+		if !sim.unconfigured[service] {
+			view.Services = append(view.Services, service)
+		}
 	}
-	view := View{Services: []model.Service{simulatedService}}
 	for j, target := range sim.targets {
-		if target.registered {
+		if target.registered && !sim.unconfigured[target.service] {
 			view.Candidates = append(view.Candidates, Candidate{
 				Holder: Holder{
 					Incarnation: fleet.Incarnation{ID: target.id, StartedAtMillis: target.incarnation}, Address: target.address,
 				},
-				Service: simulatedService, Usable: !target.unusable, Weight: 1, Region: regionOf(j),
+				Service: target.service, Usable: !target.unusable, Weight: 1, Region: simulatedRegionNames[j%simulatedRegions],
 			})
 		}
 	}
@@ -377,6 +451,9 @@
 		}
 		sim.after(delay, reply(func() { vm.manager.AppendFailed(sim.now, AppendConflict) }))
 	}
+	if sim.disorders[lateAppends] && sim.appendLate(vm, commit, reply) {
+		return
+	}
 	request, response := sim.storeDelay(), sim.storeDelay()
 	switch lost := sim.random.IntN(12); {
 	case lost == 0:
@@ -404,42 +481,133 @@
 	}
 }
 
+// releaseTimeout is how long a VM waits for the response to a release, which arrives when running work has ended.
+const releaseTimeout = 6 * time.Second
+
 func (sim *simulation) sendCommand(i int, vm *fakeVM, command Command, reply func(func()) func()) {
-	connection := uint64(0)
-	ended := func(outcome Outcome) func() {
-		return reply(func() {
-			if command.Kind == GrantKeys {
-				vm.manager.GrantEnded(sim.now, command, outcome, connection)
-			} else {
-				vm.manager.ReleaseEnded(sim.now, command, outcome, "")
-			}
-		})
+	call := &fakeCall{vm: vm, command: command, reply: reply, endsAt: sim.now.Add(sim.settings.CommandTimeout)}
+	if command.Kind == ReleaseKeys && sim.disorders[runningWork] {
+		call.endsAt = sim.now.Add(releaseTimeout)
+	}
+	if !sim.disorders[manyConnections] {
+		sim.transmit(i, call)
+		return
+	}
+	// The command waits for other commands to its target, and ends at the same time all the same.
+	incarnation := vm.incarnation
+	sim.after(time.Duration(sim.disorderRandom.IntN(450))*time.Millisecond, func() {
+		switch {
+		case vm.incarnation != incarnation || !vm.up:
+		case vm.paused:
+			sim.end(call, 0, NotSent)
+		default:
+			sim.transmit(i, call)
+		}
+	})
+}
+
+// fakeCall is a grant or release that a VM sends.
+type fakeCall struct {
+	vm      *fakeVM
+	command Command
+	reply   func(func()) func()
+	// endsAt is when the VM gives up.
+	endsAt model.Instant
+	// connection is the one over which the command was sent.
+	connection *fakeConnection
+}
+
+// end reports the outcome of a call after a delay.
+func (sim *simulation) end(call *fakeCall, delay time.Duration, outcome Outcome) {
+	sim.after(delay, call.reply(func() {
+		if call.command.Kind == ReleaseKeys {
+			call.vm.manager.ReleaseEnded(sim.now, call.command, outcome, "")
+			return
+		}
+		connection := uint64(0)
+		if call.connection != nil {
+			connection = call.connection.id
+		}
+		call.vm.manager.GrantEnded(sim.now, call.command, outcome, connection)
+	}))
+}
+
+// lose ends a call without a response.
+func (sim *simulation) lose(call *fakeCall) {
+	sim.end(call, max(0, call.endsAt.Sub(sim.now)), Unresponsive)
+}
+
+// connect returns the connection over which a VM sends a command. It returns nil if the required one is no longer open, or the
+// target's host refuses another one, which it does when the target has too many. A connection ends with the target incarnation that it was opened to, and at random.
+func (sim *simulation) connect(vm *fakeVM, j int, command Command) *fakeConnection {
+	limit := 1
+	if sim.disorders[manyConnections] {
+		limit = maxConnections
+	}
+	incarnation := sim.targets[j].incarnation
+	open := slices.DeleteFunc(vm.connected[j], func(c *fakeConnection) bool { return c.incarnation != incarnation })
+	if len(open) > 0 && sim.random.IntN(30) == 0 {
+		open = open[1:]
+	}
+	if required := command.ConnectionID; required != 0 {
+		vm.connected[j] = open
+		if at := slices.IndexFunc(open, func(c *fakeConnection) bool { return c.id == required }); at >= 0 {
+			return open[at]
+		}
+		return nil
+	}
+	if len(open) < limit {
+		if sim.disorders[manyConnections] && sim.disorderRandom.IntN(10) == 0 {
+			vm.connected[j] = open
+			return nil
+		}
+		sim.connections++
+		open = append(open, &fakeConnection{id: sim.connections, incarnation: incarnation})
+	}
+	vm.connected[j] = open
+	if limit > 1 {
+		return open[sim.disorderRandom.IntN(len(open))]
 	}
+	return open[len(open)-1]
+}
+
+// maxConnections is the number of connections for grants that a VM opens to a target at most.
+const maxConnections = 3
+
+// transmit sends a command over the network.
+func (sim *simulation) transmit(i int, call *fakeCall) {
+	command := call.command
 	j := sim.targetAt(command.Target.Address)
 	if sim.pathCut[[2]int{i, j}] {
-		sim.after(sim.settings.CommandTimeout, ended(Unresponsive))
+		sim.lose(call)
 		return
 	}
 	incarnation := sim.targets[j].incarnation
-	// A connection ends with the target incarnation that it was opened to, and at random.
-	if connected := vm.connected[j]; connected.incarnation != incarnation || sim.random.IntN(30) == 0 {
-		sim.connections++
-		vm.connected[j] = fakeConnection{id: sim.connections, incarnation: incarnation}
+	call.connection = sim.connect(call.vm, j, command)
+	if call.connection == nil && command.ConnectionID != 0 {
+		sim.end(call, time.Millisecond, Disconnected)
+		return
 	}
-	connection = vm.connected[j].id
-	if command.ConnectionID != 0 && command.ConnectionID != connection {
-		sim.after(time.Millisecond, ended(Disconnected))
+	if sim.proxied[j] && call.connection != nil {
+		if sim.disorderRandom.IntN(2) == 0 {
+			sim.applyCommand(j, incarnation, command, sim.now)
+		}
+		sim.end(call, 20*time.Millisecond, Rejected)
 		return
 	}
-	delay := time.Duration(1+sim.random.IntN(60)) * time.Millisecond
-	if link := &sim.linkBusyUntil[j%simulatedRegions]; sim.linkDelay[j%simulatedRegions] > 0 || *link > sim.now {
-		// The caller resets the connection when it gives up, but the network delivers what it has sent.
-		*link = max(*link, sim.now.Add(sim.linkDelay[j%simulatedRegions]))
-		delay = max(delay, link.Sub(sim.now))
+	delay := sim.pathDelay(j)
+	if call.connection == nil {
+		// The refusal takes the same path as any response of the target's host.
+		if sim.now.Add(delay) >= call.endsAt {
+			sim.end(call, call.endsAt.Sub(sim.now), NotSent)
+		} else {
+			sim.end(call, delay, ConnectionRefused)
+		}
+		return
 	}
-	if delay >= sim.settings.CommandTimeout {
+	if delay >= call.endsAt.Sub(sim.now) {
 		sim.after(delay, func() { sim.applyCommand(j, incarnation, command, sim.now) })
-		sim.after(sim.settings.CommandTimeout, ended(Unresponsive))
+		sim.lose(call)
 		return
 	}
 	if sim.slow && sim.random.IntN(3) == 0 {
@@ -448,34 +616,58 @@
 		sim.after(time.Duration(500+sim.random.IntN(6000))*time.Millisecond, func() {
 			sim.applyCommand(j, incarnation, command, arrived)
 		})
-		sim.after(sim.settings.CommandTimeout, ended(Unresponsive))
+		sim.lose(call)
 		return
 	}
-	sim.after(delay, func() {
-		outcome := sim.applyCommand(j, incarnation, command, sim.now)
-		if sim.random.IntN(40) == 0 {
-			sim.after(sim.settings.CommandTimeout, ended(Unresponsive))
-			return
-		}
-		sim.after(delay, ended(sim.receivedOutcome(vm, j, connection, command, outcome)))
-	})
+	sim.after(delay, func() { sim.respond(j, incarnation, call, delay) })
+}
+
+// pathDelay returns how long a message to a target takes.
+func (sim *simulation) pathDelay(j int) time.Duration {
+	delay := time.Duration(1+sim.random.IntN(60)) * time.Millisecond
+	if sim.disorders[manyConnections] {
+		delay = time.Duration(1+sim.disorderRandom.IntN(180)) * time.Millisecond
+	}
+	if link := &sim.linkBusyUntil[j%simulatedRegions]; sim.linkDelay[j%simulatedRegions] > 0 || *link > sim.now {
+		// The caller resets the connection when it gives up, but the network delivers what it has sent.
+		*link = max(*link, sim.now.Add(sim.linkDelay[j%simulatedRegions]))
+		delay = max(delay, link.Sub(sim.now))
+	}
+	return delay
 }
 
-// receivedOutcome returns the outcome that a VM takes from the response to a grant. A false response is a copy of an earlier
-// one on the same connection, or has another status. Only a first response can show that the target was replaced.
-func (sim *simulation) receivedOutcome(vm *fakeVM, j int, connection uint64, command Command, outcome Outcome) Outcome {
-	connected := vm.connected[j]
-	if command.Kind != GrantKeys || connected.id != connection {
+// respond applies a command that has reached its target, and returns the response after a delay.
+func (sim *simulation) respond(j int, incarnation int64, call *fakeCall, delay time.Duration) {
+	if call.command.Kind == ReleaseKeys {
+		sim.work = sim.drawWork()
+	}
+	work := sim.work
+	outcome := sim.applyCommand(j, incarnation, call.command, sim.now)
+	sim.work = 0
+	if sim.random.IntN(40) == 0 || sim.now.Add(delay+work) >= call.endsAt {
+		sim.lose(call)
+		return
+	}
+	sim.end(call, delay+work, sim.receivedOutcome(j, call, outcome))
+}
+
+// receivedOutcome returns the outcome that a VM takes from the response to a command. A false response to a grant is a copy of
+// an earlier one on the same connection, or has another status. Each release has a connection of its own, so the response to
+// it can only be altered. Only a first response can show that the target was replaced.
+func (sim *simulation) receivedOutcome(j int, call *fakeCall, outcome Outcome) Outcome {
+	if call.command.Kind == ReleaseKeys {
+		if sim.falseResponses && sim.storeRandom.IntN(4) == 0 {
+			return Rejected
+		}
 		return outcome
 	}
-	earlier := connected.responses
-	connected.responses = append(earlier, outcome)
-	vm.connected[j] = connected
+	earlier := call.connection.responses
+	call.connection.responses = append(earlier, outcome)
 	if !sim.falseResponses || sim.storeRandom.IntN(4) != 0 {
 		return outcome
 	}
 	// A connection on which a false response was detected is not used again.
-	vm.connected[j] = fakeConnection{}
+	call.vm.connected[j] = slices.DeleteFunc(call.vm.connected[j], func(c *fakeConnection) bool { return c == call.connection })
 	if len(earlier) == 0 || sim.storeRandom.IntN(4) == 0 {
 		return Rejected
 	}
@@ -506,88 +698,102 @@
 	if target.id != command.Target.Incarnation.ID {
 		return Replaced
 	}
-	for _, key := range sim.keys {
-		if key >= command.From && key <= command.To && target.seenFences[key] > command.Fence && command.Kind == GrantKeys {
+	for k, key := range sim.keys {
+		if key >= command.From && key <= command.To && target.seenFences[k] > command.Fence && command.Kind == GrantKeys {
 			return Fenced
 		}
 	}
-	for _, key := range sim.keys {
+	for k, key := range sim.keys {
 		if key >= command.From && key <= command.To {
-			sim.applyToKey(j, key, command, arrived)
+			sim.applyToKey(target, k, command, arrived)
 		}
 	}
 	return Done
 }
 
 // applyToKey applies a command to one key of a target.
-func (sim *simulation) applyToKey(j, key int, command Command, arrived model.Instant) {
-	target := sim.targets[j]
-	target.seenFences[key] = max(target.seenFences[key], command.Fence)
+func (sim *simulation) applyToKey(target *fakeTarget, k int, command Command, arrived model.Instant) {
+	target.seenFences[k] = max(target.seenFences[k], command.Fence)
 	until := arrived.Add(time.Duration(float64(sim.settings.Hold) * sim.settings.ClockDriftFactor))
 	switch {
 	case command.Kind == ReleaseKeys:
-		delete(target.holds, key)
+		sim.release(target, k, command.Fence)
 	case until > sim.now:
-		sim.checkFence(j, key, command.Fence)
-		target.holds[key] = hold{fence: command.Fence, until: until}
+		sim.checkFence(target, k, command.Fence)
+		target.holds[k] = hold{fence: command.Fence, until: until}
 		sim.grants++
 	}
 }
 
-// checkFence verifies that a target gets a key under a higher fence than any earlier holder had.
-func (sim *simulation) checkFence(j, key int, fence uint64) {
-	if former, had := sim.targets[j].formerFences[key]; had && former >= fence {
-		sim.violation = fmt.Sprintf(
-			"key %d was granted to a new incarnation of %s with fence %d, the former one had it with %d",
-			key, sim.targets[j].id, fence, former)
-	}
-	for other, target := range sim.targets {
-		if held, had := target.holds[key]; other != j && had && held.fence >= fence && target.up {
-			sim.violation = fmt.Sprintf("key %d was granted to %s with fence %d, %s had it with %d",
-				key, sim.targets[j].id, fence, target.id, held.fence)
+// checkFence verifies that a target gets a key under a higher fence than any other incarnation had.
+func (sim *simulation) checkFence(target *fakeTarget, k int, fence uint64) {
+	takings := sim.taken[target.service][k]
+	known := -1
+	for i, earlier := range takings {
+		if earlier.incarnation == target.incarnation {
+			known = i
+		} else if earlier.fence >= fence {
+			sim.violate("key %d of %s was granted to %s (incarnation %d) with fence %d, incarnation %d had it with %d",
+				sim.keys[k], target.service, target.id, target.incarnation, fence, earlier.incarnation, earlier.fence)
 		}
 	}
+	if known < 0 {
+		sim.taken[target.service][k] = append(takings, taking{incarnation: target.incarnation, fence: fence})
+		return
+	}
+	takings[known].fence = max(takings[known].fence, fence)
+}
+
+func (sim *simulation) violate(format string, arguments ...any) {
+	if sim.violation == "" {
+		sim.violation = fmt.Sprintf(format, arguments...)
+	}
+}
+
+func (target *fakeTarget) holdsKey(k int, now model.Instant) bool {
+	return target.up && target.holds[k].until > now
 }
 
 // check verifies that no key has two holders.
 func (sim *simulation) check() {
-	for _, key := range sim.keys {
-		var holders []string
-		for _, target := range sim.targets {
-			if held, had := target.holds[key]; had && target.up && held.until > sim.now {
-				holders = append(holders, fmt.Sprintf("%s (fence %d)", target.id, held.fence))
+	for k, key := range sim.keys {
+		for j, target := range sim.targets {
+			if !target.holdsKey(k, sim.now) {
+				continue
+			}
+			for _, other := range sim.targets[j+1:] {
+				if other.service == target.service && other.holdsKey(k, sim.now) {
+					sim.violate("key %d is held by %s (fence %d) and %s (fence %d)",
+						key, target.id, target.holds[k].fence, other.id, other.holds[k].fence)
+				}
 			}
-		}
-		if len(holders) > 1 {
-			sim.violation = fmt.Sprintf("key %d is held by %s", key, strings.Join(holders, " and "))
 		}
 	}
 }
 
-// unheld returns the number of keys without a holder.
+// unheld returns the number of keys without a holder, of services that have targets.
 func (sim *simulation) unheld() int {
 	count := 0
-	for _, key := range sim.keys {
-		held := false
-		for _, target := range sim.targets {
-			if h, had := target.holds[key]; had && target.up && h.until > sim.now {
-				held = true
+	for _, service := range sim.services {
+		for k := range sim.keys {
+			holds := func(target *fakeTarget) bool { return target.service == service && target.holdsKey(k, sim.now) }
+			belongs := func(target *fakeTarget) bool { return target.service == service }
+			if !slices.ContainsFunc(sim.targets, holds) && slices.ContainsFunc(sim.targets, belongs) {
+				count++
 			}
 		}
-		if !held {
-			count++
-		}
 	}
 	return count
 }
 
 // heal ends all faults and restarts the VMs and targets that are down or leaving.
 func (sim *simulation) heal() {
-	sim.storeDown, sim.storeSlow, sim.slow, sim.unconfigured, sim.falseResponses = false, false, false, false, false
+	sim.storeDown, sim.storeSlow, sim.slow, sim.falseResponses = false, false, false, false
+	sim.disorders, sim.unconfigured, sim.proxied = [disorderKinds]bool{}, map[model.Service]bool{}, map[int]bool{}
 	sim.storeCut, sim.relayCut, sim.pathCut = map[int]bool{}, map[int]bool{}, map[[2]int]bool{}
 	sim.linkDelay = [simulatedRegions]time.Duration{}
 	for i, vm := range sim.vms {
-		vm.paused = false
+		vm.paused, vm.viewLag = false, 0
 		if !vm.up || vm.leaving {
 			sim.startVM(i)
 		}
@@ -596,7 +802,7 @@
 		if !target.up {
 			sim.startTarget(target, true)
 		}
-		target.registered, target.unusable = true, false
+		target.registered, target.unusable, target.flapping = true, false, 0
 	}
 }
 
@@ -616,9 +822,10 @@
 	for _, vm := range sim.vms {
 		fmt.Fprintf(&text, "%s leader %t table %d; ", vm.name, vm.manager.IsLeader(sim.now), vm.manager.table.Offset)
 	}
-	for _, key := range sim.keys {
-		r := newest.Find(simulatedService, key)
-		fmt.Fprintf(&text, "key %d: %+v; ", key, r)
+	for _, service := range sim.services {
+		for _, key := range sim.keys {
+			fmt.Fprintf(&text, "key %d of %s: %+v; ", key, service, newest.Find(service, key))
+		}
 	}
 	return text.String()
 }
