Wait for the unknown holders of a record that cannot be decoded

Callers would have seen two targets that serve the same key: a VM that starts, or claims leadership, while the newest record of the assignment is one that it cannot decode (a resignation with a bound for a VM of an earlier version, a later form, a damaged record) wrote its own table over it. It knew an older table or none, so the holders that only the undecoded record lists were forgotten: it took their keys for held by nobody and granted them 80 ms later.

Such a claim now covers all keys of the configured services, marks none ready, and adds an unknown holder to the previous holders of each range. No release is sent to it, so its hold ends by time only: the former leader's leadership timeout and the hold, 13.2 s. As it is part of the table, later leaders wait too, and the record has the same form as before. A VM that has keys in no range and no target for them does not claim.

Left: a service that is not in the configuration at the claim and returns within the 13.2 s is assigned as held by nobody.

--- a/internal/keyspace/manager.go
+++ b/internal/keyspace/manager.go
@@ -409,7 +409,7 @@
 
 func (m *Manager) stepReleases(now model.Instant, r *Range, state *commandState, commands []Command) []Command {
 	for _, previous := range r.Previous {
-		if state.released[previous.Incarnation] || m.holdEnded(now, previous.Incarnation) ||
+		if previous == unknownHolder || state.released[previous.Incarnation] || m.holdEnded(now, previous.Incarnation) ||
 			now < state.nextReleaseAt[previous.Incarnation] {
 			continue
 		}
--- a/internal/keyspace/plan.go
+++ b/internal/keyspace/plan.go
@@ -26,7 +26,7 @@
 		if !m.elected || m.resigning {
 			return nil
 		}
-		return m.planLeadershipClaim()
+		return m.planLeadershipClaim(now)
 	}
 	if !m.IsLeader(now) || m.hasUndecodedRecord() {
 		return nil
@@ -74,14 +74,39 @@
 
 // planLeadershipClaim returns the table with which this process becomes the leader. All ranges get new fences, because
 // the former leader may have increased theirs and owners may have restarted since.
-func (m *Manager) planLeadershipClaim() *Table {
+func (m *Manager) planLeadershipClaim(now model.Instant) *Table {
 	draft := m.draft()
 	for i := range draft.Ranges {
 		draft.Ranges[i].Fence = fenceAt(draft.Offset)
 	}
+	if m.hasUndecodedRecord() && !m.addUnknownHolders(now, draft) {
+		return nil
+	}
 	return draft
 }
 
+// unknownHolder stands for the holders that a record lists which this process cannot decode. It gets no release, so the next
+// owner waits until every hold under that record has ended.
+var unknownHolder = Holder{Incarnation: fleet.Incarnation{ID: "unknown holder"}}
+
+// addUnknownHolders adds unknownHolder to the previous holders of all keys of a draft. It returns false if it cannot, because a
+// service has keys that are in no range and no target to assign them to.
+func (m *Manager) addUnknownHolders(now model.Instant, draft *Table) bool {
+	p := newPlanner(m, now, draft)
+	if p.coverGaps(); len(p.gaps()) > 0 {
+		return false
+	}
+	draft.sort()
+	for i := range draft.Ranges {
+		r := &draft.Ranges[i]
+		r.Ready = false
+		if !contains(r.Previous, unknownHolder.Incarnation) {
+			r.Previous = append(r.Previous, unknownHolder)
+		}
+	}
+	return true
+}
+
 // planResignation returns the table with which this process gives up leadership. It states for how long grants of leaders before
 // this one and unanswered grants of its own may be delivered, because the next leader trusts that a resigned leader makes none.
 func (m *Manager) planResignation(now model.Instant) *Table {
@@ -230,12 +255,21 @@
 
 // coverGaps assigns the keys that are in no range.
 func (p *planner) coverGaps() bool {
+	changed := false
+	for _, gap := range p.gaps() {
+		if len(p.usable[gap.Service]) > 0 {
+			p.draft.Ranges = append(p.draft.Ranges, p.divide(gap)...)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// gaps returns the keys of configured services that are in no range.
+func (p *planner) gaps() []Range {
 	p.draft.sort()
 	var gaps []Range
 	for _, service := range p.m.view.Services {
-		if len(p.usable[service]) == 0 {
-			continue
-		}
 		next := 0
 		for i := range p.draft.Ranges {
 			r := &p.draft.Ranges[i]
@@ -251,10 +285,7 @@
 			gaps = append(gaps, Range{Service: service, From: next, To: Keys - 1})
 		}
 	}
-	for _, gap := range gaps {
-		p.draft.Ranges = append(p.draft.Ranges, p.divide(gap)...)
-	}
-	return len(gaps) > 0
+	return gaps
 }
 
 // divide splits a range into pieces and assigns each to the target that is furthest below its fair share.
