Let a leader that reaches the store stay elected in the simulation

The simulation elected the first VM that reached the store, so a VM that restarted replaced a healthy leader without a resignation. The disorder stale-elections still plays replaced leaders.

--- a/internal/keyspace/simulation_test.go
+++ b/internal/keyspace/simulation_test.go
@@ -263,18 +263,26 @@
 
 func (sim *simulation) reachesStore(i int) bool { return !sim.storeDown && !sim.storeCut[i] }
 
-// elected returns the index of the VM that the store elects: the first that can reach it, or -1. A leader that is
-// stopping stays elected until it has resigned.
+// elected returns the index of the VM that the store elects, or -1: the leader while it can reach the store, and otherwise the
+// first that can. A leader that is stopping stays elected until it has resigned.
 func (sim *simulation) elected() int {
-	for i, vm := range sim.vms {
-		stopped := vm.leaving && vm.manager.Resigned()
-		if vm.up && !vm.paused && !stopped && sim.reachesStore(i) {
+	if leader := sim.leader(); leader >= 0 && sim.electable(leader) {
+		return leader
+	}
+	for i := range sim.vms {
+		if sim.electable(i) {
 			return i
 		}
 	}
 	return -1
 }
 
+func (sim *simulation) electable(i int) bool {
+	vm := sim.vms[i]
+	stopped := vm.leaving && vm.manager.Resigned()
+	return vm.up && !vm.paused && !stopped && sim.reachesStore(i)
+}
+
 func (sim *simulation) stepVM(i int, vm *fakeVM, elected bool) {
 	vm.manager.SetElected(elected)
 	if sim.reachesStore(i) {
