Send nothing over a cut path without an open connection in the simulation

A command over a cut path always counted as sent in the simulation. In the platform a VM without a connection to the target cannot open one, so nothing is sent, and the next leader does not wait for the delivery of such a command.

The flag -keyspace.without leaves out faults, to attribute a failure.

--- a/internal/keyspace/fuzz_test.go
+++ b/internal/keyspace/fuzz_test.go
@@ -71,6 +71,7 @@
 
 // faultOf starts or ends one of the named faults.
 func (sim *simulation) faultOf(t *rapid.T, names []string) {
+	names = slices.DeleteFunc(slices.Clone(names), func(name string) bool { return listed(*withoutFaults, name) })
 	vm := rapid.IntRange(0, len(sim.vms)-1).Draw(t, "vm")
 	target := rapid.IntRange(0, len(sim.targets)-1).Draw(t, "target")
 	on := rapid.Bool().Draw(t, "on")
--- a/internal/keyspace/main_test.go
+++ b/internal/keyspace/main_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -16,18 +17,24 @@
 	defaultSeed = "37"
 )
 
-// disorderNames limits the kinds of disorder that TestOneHolderUnderFaults plays, to find out which of them a failure needs.
-var disorderNames = flag.String("keyspace.disorders", "all", `kinds of disorder to play, comma-separated, "all" or "none"`)
+// Both flags find out what a failure needs: the kinds of disorder that are played, and the faults, disorders among them, that are not.
+var (
+	disorderNames = flag.String("keyspace.disorders", "all", `kinds of disorder to play, comma-separated, "all" or "none"`)
+	withoutFaults = flag.String("keyspace.without", "", "names of faults not to play, comma-separated")
+)
+
+// listed reports whether a comma-separated list has a name.
+func listed(list, name string) bool { return slices.Contains(strings.Split(list, ","), name) }
 
 // playedDisorders returns the kinds of disorder that the command line asks for.
 func playedDisorders() []disorder {
 	var played []disorder
 	for kind := disorder(0); kind < disorderKinds; kind++ {
-		if kind == olderVersions {
-			// TestOneHolderWithUndecodedRecords plays it alone.
+		// TestOneHolderWithUndecodedRecords plays older versions alone.
+		if kind == olderVersions || listed(*withoutFaults, kind.String()) {
 			continue
 		}
-		if *disorderNames == "all" || strings.Contains(","+*disorderNames+",", ","+kind.String()+",") {
+		if *disorderNames == "all" || listed(*disorderNames, kind.String()) {
 			played = append(played, kind)
 		}
 	}
--- a/internal/keyspace/simulation_test.go
+++ b/internal/keyspace/simulation_test.go
@@ -586,11 +586,17 @@
 func (sim *simulation) transmit(i int, call *fakeCall) {
 	command := call.command
 	j := sim.targetAt(command.Target.Address)
+	incarnation := sim.targets[j].incarnation
 	if sim.pathCut[[2]int{i, j}] {
-		sim.lose(call)
+		isOpen := func(c *fakeConnection) bool { return c.incarnation == incarnation }
+		if command.Kind == GrantKeys && slices.ContainsFunc(call.vm.connected[j], isOpen) {
+			sim.lose(call)
+		} else {
+			// No connection can be opened.
+			sim.end(call, max(0, call.endsAt.Sub(sim.now)), NotSent)
+		}
 		return
 	}
-	incarnation := sim.targets[j].incarnation
 	call.connection = sim.connect(call.vm, j, command)
 	if call.connection == nil && command.ConnectionID != 0 {
 		sim.end(call, time.Millisecond, Disconnected)
