Make the test of a resignation's bound fail without the bound

TestResignationKeepsBoundOfFormerLeader passed when a resignation stated no bound at all (run on, FormerGrants set to 0): the cut leader learned of the next table from a relay and made no more grants, and the later leaders waited for the delivery of their own grants to the unreachable target. The cut now includes the leader's link to the other VMs. Without the bound of former leaders in planResignation the test then fails (key 22265 is held by t-2 under fence 131072 and t-3 under 655360), with it it passes.

--- a/internal/keyspace/fuzz_test.go
+++ b/internal/keyspace/fuzz_test.go
@@ -282,7 +282,7 @@
 		for vm := 1; vm < len(sim.vms); vm++ {
 			sim.pathCut[[2]int{vm, unreachable}] = true
 		}
-		sim.storeCut[0] = true
+		sim.storeCut[0], sim.relayCut[0] = true, true
 		for vm := 1; vm <= resignations; vm++ {
 			sim.awaitLeader(t, vm)
 			sim.resign(vm)
