--- a/internal/keyspace/former_holders_test.go
+++ b/internal/keyspace/former_holders_test.go
@@ -55,3 +55,31 @@
 	require.NotNil(t, written)
 	assert.Empty(t, written.Ranges)
 }
+
+// Guards against two holders of a key: a grant that a process at the target's address rejects shortens the time for which a new
+// leader waits for grants of the former one.
+func TestRejectedGrantDoesNotShortenWaitForFormerLeader(t *testing.T) {
+	sim := newSimulation(20, 1, 2)
+	sim.run(2 * time.Second)
+	m := sim.vms[0].manager
+	owner := m.table.Ranges[0].Owner
+	end := sim.now.Add(sim.settings.contactBound() + sim.settings.holdBound())
+	m.extendHold(owner.Incarnation, end)
+	m.grantsInFlight = map[fleet.Incarnation]int{owner.Incarnation: 1}
+	m.GrantEnded(sim.now, Command{Kind: GrantKeys, Target: owner}, Rejected, 0)
+	assert.False(t, m.holdEnded(end-1, owner.Incarnation))
+	assert.True(t, m.holdEnded(end, owner.Incarnation))
+}
+
+// Guards against fences that do not increase: a grant for an incarnation that the view shows as replaced would reach the next one.
+func TestReplacedIncarnationGetsNoGrant(t *testing.T) {
+	sim := newSimulation(21, 1, 2)
+	sim.run(2 * time.Second)
+	m, view := sim.vms[0].manager, sim.view()
+	replaced := view.Candidates[0].Incarnation
+	view.Candidates[0].Incarnation.StartedAtMillis++
+	m.SetView(view)
+	for _, command := range m.Step(sim.now.Add(sim.settings.RenewEvery)) {
+		assert.False(t, command.Kind == GrantKeys && command.Target.Incarnation == replaced, "%+v", command)
+	}
+}
