Count a restarted VM once when shares of common limits are divided

A cold target of a deployment with few VMs that restart again and again got no requests: the leader counted each former incarnation of a VM as a member until its leases had ended, so the running one got a fraction of the units.

--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -89,7 +89,7 @@
 				all[rand.IntN(vms)] = start()
 			}
 			for _, g := range all {
-				g.shares.Apply(allocator.Renew(now, g.settings.VM, g.shares.Request(now, false), false))
+				g.shares.Apply(allocator.Renew(now, g.settings.VM, g.settings.VM, g.shares.Request(now, false), false))
 				if share := g.retryBurst(now); share > 0 {
 					used[g.settings.VM] = append(used[g.settings.VM], use{at: now, share: share})
 				}
@@ -112,7 +112,7 @@
 	assert.Greater(t, play(10*time.Second, 0), 630.0/2)
 	assert.Greater(t, play(20*time.Second, 10), 630.0/2)
 	fresh := start()
-	fresh.shares.Apply(allocator.Renew(now, fresh.settings.VM, fresh.shares.Request(now, false), false))
+	fresh.shares.Apply(allocator.Renew(now, fresh.settings.VM, fresh.settings.VM, fresh.shares.Request(now, false), false))
 	assert.Zero(t, fresh.retryBurst(now.Add(shares.LeaseTTL)), "the lease has ended")
 }
 
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -251,7 +251,7 @@
 	}
 	grant := shares.Grant{}
 	if isConfirmed {
-		grant = s.shares.Renew(now, report.Incarnation, report.Shares, term == s.term)
+		grant = s.shares.Renew(now, report.VM, report.Incarnation, report.Shares, term == s.term)
 	} else {
 		s.shares.Keep(now, report.Incarnation)
 	}
--- a/internal/shares/allocator.go
+++ b/internal/shares/allocator.go
@@ -37,6 +37,8 @@
 }
 
 type member struct {
+	// name is the name of the VM, which its incarnations have in common.
+	name      string
 	units     []Unit
 	version   uint64
 	renewedAt model.Instant
@@ -62,10 +64,10 @@
 	}
 }
 
-// Renew renews the leases of a VM, known by its incarnation, and grants it further units up to an equal share of all. claimable
-// is true if the request was sent after the term began; only then its claims count. The caller ensures that the store confirms
+// Renew renews the leases of an incarnation of a VM, and grants it further units up to an equal share of all. name is the name of
+// the VM, vm that of its incarnation; a new incarnation means that the former ones have ended. claimable is true if the request was sent after the term began; only then its claims count. The caller ensures that the store confirms
 // the leadership.
-func (a *Allocator) Renew(now model.Instant, vm string, request Request, claimable bool) Grant {
+func (a *Allocator) Renew(now model.Instant, name, vm string, request Request, claimable bool) Grant {
 	if a.assignableFrom == 0 {
 		return Grant{}
 	}
@@ -80,7 +82,8 @@
 	}
 	m := a.members[vm]
 	if m == nil {
-		m = &member{version: max(1, a.random())}
+		a.dropIncarnations(name)
+		m = &member{name: name, version: max(1, a.random())}
 		a.members[vm] = m
 	}
 	m.renewedAt = max(m.renewedAt, now)
@@ -121,6 +124,16 @@
 	}
 }
 
+// dropIncarnations drops the incarnations of a VM, which do not count for the shares any more. Their units become free as their
+// leases end.
+func (a *Allocator) dropIncarnations(name string) {
+	for vm, m := range a.members {
+		if m.name == name {
+			delete(a.members, vm)
+		}
+	}
+}
+
 // sweep drops the VMs whose leases have ended. Their units become free after restTime.
 func (a *Allocator) sweep(now model.Instant) {
 	if now.Sub(a.sweptAt) < sweepInterval {
--- a/internal/shares/shares_test.go
+++ b/internal/shares/shares_test.go
@@ -123,7 +123,7 @@
 		vm.grants = append(vm.grants, Grant{})
 		return
 	}
-	vm.grants = append(vm.grants, leader.allocator.Renew(now, vm.name, request, true))
+	vm.grants = append(vm.grants, leader.allocator.Renew(now, vm.name, vm.name, request, true))
 }
 
 func (d *deployment) deliverGrant(vm *testVM) {
@@ -354,7 +354,7 @@
 	d.vms = d.vms[1:]
 	request := stopping.holder.Request(d.now, false)
 	request.Ends = true
-	assert.Equal(t, Grant{}, d.leader().allocator.Renew(d.now, stopping.name, request, true))
+	assert.Equal(t, Grant{}, d.leader().allocator.Renew(d.now, stopping.name, stopping.name, request, true))
 	d.run(t, 2*LeaseTTL)
 	assert.Equal(t, Units, d.heldByAll())
 }
@@ -363,7 +363,7 @@
 func TestOddRequestsAndGrantsAreIgnored(t *testing.T) {
 	allocator := NewAllocator(testWindow, func() uint64 { return 0 })
 	allocator.Begin(model.Instant(time.Hour), true)
-	grant := allocator.Renew(model.Instant(time.Hour), "x", Request{Number: 1, Claims: []Unit{3, 3, Units, 65535}}, true)
+	grant := allocator.Renew(model.Instant(time.Hour), "x", "x/1", Request{Number: 1, Claims: []Unit{3, 3, Units, 65535}}, true)
 	assert.Equal(t, []Unit{3}, grant.Units)
 	holder := NewHolder()
 	assert.False(t, holder.Apply(Grant{Number: 4, Version: 1, Units: []Unit{1}}), "no such report")
@@ -471,3 +471,19 @@
 		require.NoError(t, d.check())
 	}
 }
+
+// Guards against shares that shrink with each restart of a VM, because its former incarnations still count.
+func TestRestartedVMCountsOnce(t *testing.T) {
+	allocator := NewAllocator(testWindow, func() uint64 { return 1 })
+	now := model.Instant(time.Hour)
+	allocator.Begin(now, false)
+	var got []int
+	for start := range 20 {
+		now = now.Add(time.Second)
+		grant := allocator.Renew(now, "vm", fmt.Sprint("vm/", start), Request{Number: 1}, false)
+		if len(grant.Units) > 0 {
+			got = append(got, len(grant.Units))
+		}
+	}
+	assert.Equal(t, []int{Units, Units, Units}, got, "each time that the leases of a former incarnation have ended")
+}
