--- a/internal/soak/server_test.go
+++ b/internal/soak/server_test.go
@@ -187,12 +187,27 @@
 			s.grant(w, body, incarnation)
 		case "/release":
 			s.release(w, body, incarnation)
+		case "/health":
+			s.health(w, incarnation)
 		default:
 			s.serve(w, r, body, incarnation)
 		}
 	})
 }
 
+// health responds to a health check, which is no request of a caller.
+func (s *server) health(w http.ResponseWriter, incarnation int64) {
+	s.oracle.mu.Lock()
+	defer s.oracle.mu.Unlock()
+	if !s.isCurrent(incarnation) {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("X-Tarragonpoint-Instance-Id", s.id)
+	if s.draining || s.leaving {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 // command is the body of a grant or release of a range of keys.
 type command struct {
 	From  int    `json:"from"`
