Wait for leases under forgotten overrides after a zone restarts

Seen: two targets served the same slot.

Cause: a process that joins collects the overrides of all other members before it acts as a lessor. If all of them are new processes too, their replies are empty, the synchronization counts as complete, and the owner in the log gets the slots at once. Section 9 of the design counts the loss as tolerated as far as "there is still at most one owner".

Change: if no member that replied has completed its own synchronization, the joined process waits for one lease bound (2.07 s) after the last reply, unless the cell's targets own no slots (first start). Price: up to 2.07 s without service after all entry VMs of a zone restart at once, also when no override was in force.

TestJoinedProcessSynchronizesFirst had a member reply that kept an override and yet said that it was not synchronized; it now says that it is, and the rest of the test is as before.

--- a/internal/control/override_test.go
+++ b/internal/control/override_test.go
@@ -56,6 +56,31 @@
 // A process that joined a cell must not grant a slot to its owner in the log if the other members gave the slot to
 // another target while the log was down.
 func TestJoinedProcessSynchronizesFirst(t *testing.T) {
+	r := newJoiningRig(t)
+	r.run(3 * time.Second)
+	require.Empty(t, r.renewed)
+	reply := r.syncReplyOfB(overrideTo(spareTarget))
+	reply.SyncReply.Synced = true
+	r.receive(reply)
+	r.run(time.Second)
+	require.True(t, r.extended(r.first))
+	require.Equal(t, []model.Slot{rigSlot(1)}, r.node.slotsOf(r.first))
+}
+
+// A process whose cell has no member that knows the overrides must not grant a slot to its owner in the log before the
+// leases under overrides that all members forgot have expired (two owners, TestRestartOfAllVMsThatKnowOverride).
+func TestJoinedProcessAwaitsForgottenLeases(t *testing.T) {
+	r := newJoiningRig(t)
+	r.run(3 * time.Second)
+	r.receive(r.syncReplyOfB())
+	r.run(lease.Bound - TickInterval)
+	require.Empty(t, r.renewed)
+	r.run(time.Second)
+	require.True(t, r.extended(r.first))
+}
+
+// newJoiningRig returns a rig with a new process of "a" that has folded the log, while "b" does not reply to its queries.
+func newJoiningRig(t *testing.T) *rig {
 	r := newRig(t, "a")
 	r.node = NewNode(r.node.settings)
 	r.unsynced = true
@@ -63,13 +88,14 @@
 	r.read(record.ConfigStream, 1, fresh.node.streams[record.ConfigStream].tail[0].Record)
 	r.step(LogRead{Stream: record.AssignStream, Entries: fresh.node.streams[record.AssignStream].tail, End: rigBase + 1})
 	r.renewed = nil
-	r.run(3 * time.Second)
-	require.Empty(t, r.renewed)
+	return r
+}
+
+// syncReplyOfB returns the reply of "b" to the last sync query, without the knowledge of an earlier process of "b".
+func (r *rig) syncReplyOfB(known ...message.Override) message.Message {
 	query := last(r, "b", func(m message.Message) *message.SyncQuery { return m.SyncQuery })
-	r.receive(syncReply(*query, overrideTo(spareTarget)))
-	r.run(time.Second)
-	require.True(t, r.extended(r.first))
-	require.Equal(t, []model.Slot{rigSlot(1)}, r.node.slotsOf(r.first))
+	require.NotNil(r.t, query)
+	return syncReply(*query, known...)
 }
 
 // An override must not outlive a newer record for its slot; the slot would have two owners.
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/tarragonpoint/tarragonpoint/internal/lease"
 	"github.com/tarragonpoint/tarragonpoint/internal/message"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
 )
@@ -18,6 +19,8 @@
 	epoch     model.Offset
 	began     model.Instant
 	queriedAt model.Instant
+	// repliedAt is when the last reply arrived.
+	repliedAt model.Instant
 	replied   map[model.VMID]bool
 	// hasLessors is true if another member may act as a lessor, so that the cell's targets may already have one.
 	hasLessors bool
@@ -48,7 +51,7 @@
 		n.syncs[zone] = s
 	}
 	missing := slices.DeleteFunc(n.possibleRenewers(zone), func(vm model.VMID) bool { return s.replied[vm] })
-	if len(missing) == 0 && n.knowsLessors(zone, s) {
+	if len(missing) == 0 && n.knowsLessors(zone, s) && n.forgottenLeasesEnded(zone, s) {
 		s.done = true
 		n.dirty = true
 		n.heartbeatAt = 0
@@ -63,6 +66,21 @@
 	}
 }
 
+// forgottenLeasesEnded reports whether no target of a cell can hold a lease under an override that all members forgot. If
+// no other member knows the overrides of the cell, all processes that knew them may have ended just now. The owners in
+// the log count again then, but only once every lease that those processes renewed has expired.
+func (n *Node) forgottenLeasesEnded(zone model.Zone, s *cellSync) bool {
+	if s.hasLessors || n.now >= max(s.began, s.repliedAt).Add(lease.Bound) {
+		return true
+	}
+	for id, state := range n.targets {
+		if state.config.Zone == zone && n.assign.state.OwnedCount(id) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // knowsLessors reports whether this process knows the acting lessors of a cell's targets, or need not wait for them. A
 // process that knew none would take targets over by rank without their at-most-once tables.
 func (n *Node) knowsLessors(zone model.Zone, s *cellSync) bool {
@@ -96,6 +114,7 @@
 		return
 	}
 	s.replied[from] = true
+	s.repliedAt = n.now
 	s.hasLessors = s.hasLessors || reply.Synced
 	for _, known := range reply.Overrides {
 		n.learnOverride(known)
--- a/internal/proof/failover_test.go
+++ b/internal/proof/failover_test.go
@@ -40,6 +40,30 @@
 	require.True(t, w.logHasReassign(record.EvidenceLeaseExpired), "the log records the new owners")
 }
 
+// Guards against two owners after all entry VMs of a zone restart while an override is in force: the new processes do not
+// know it and grant the slots to the owner in the log while the other target's lease still runs.
+func TestRestartOfAllVMsThatKnowOverride(t *testing.T) {
+	for _, outage := range []time.Duration{0, 500 * time.Millisecond, 3 * time.Second} {
+		t.Run(outage.String(), func(t *testing.T) {
+			w := newWorld(3, 2, 3, 3, t.Fatalf)
+			w.runFor(8*time.Second, w.checkOwners)
+			w.log.up = false
+			w.runFor(logDownDetection, w.checkOwners)
+			failed := w.targets["target-a0"]
+			failed.frozen = true
+			w.runFor(failoverLimit, w.checkOwners)
+			require.Equal(t, slotsPerCell, w.servedSlots())
+			failed.thaw()
+			w.runFor(time.Second, w.checkOwners)
+			w.restartAll()
+			w.runFor(outage, w.checkOwners)
+			w.log.up = true
+			w.runFor(10*time.Second, w.checkOwners)
+			require.Equal(t, slotsPerCell, w.servedSlots())
+		})
+	}
+}
+
 // logHasReassign reports whether the log holds a Reassign record with the given evidence.
 func (w *world) logHasReassign(evidence record.Evidence) bool {
 	for _, entry := range w.log.streams[record.AssignStream] {
