Give up slots only while the log accepts records

Cause: a planned move revokes the slots first and appends the move afterwards, and whether the log was up was taken from reads of any stream, up to 3 s old. Moves that were planned in the first 3 s of an outage, or at any time while only the assign stream was down, left slots that the owner refused and nobody else was granted.

Change: a lessor starts a move only within 100 ms of a confirmed append to the assign stream, unless a call to it has failed since. Without one it appends a Probe, a record without effect, and the move waits for the confirmation, at most 3 s until the planner requests it again. Cost: up to one more append for each batch of moves and lessor, no time without service.

Considered: to record the move first and revoke then. The record makes the next owner's lessor grant, so it would need word of the release, through the log again or from a lessor that may be lost. A move whose append gets no response cannot be taken back, as it may have taken effect; the outage has to begin between the confirmed append and this one for that. This remains, and so does that a drained target gets no requests after 4 s (invariant 9), so that its keys wait for the log from then on.

--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -28,8 +28,9 @@
 
 // AppendDone reports the completion of an append. If OK is false, the outcome is unknown.
 type AppendDone struct {
-	ID record.ID
-	OK bool
+	Stream record.Stream
+	ID     record.ID
+	OK     bool
 }
 
 // PeerMessage carries a message from another entry VM.
--- a/internal/control/moves.go
+++ b/internal/control/moves.go
@@ -18,26 +18,38 @@
 	sentSequence uint64
 }
 
-// startMoves starts requested moves. Moves that are not possible now are dropped; the planner requests them again.
+// startMoves starts requested moves, or holds them until the log is known to accept records. Moves that are not possible
+// now are dropped; the planner requests them again.
 func (n *Node) startMoves(moves []record.Move) {
+	accepting := n.logAccepts()
 	for _, move := range moves {
-		ownership, owned := n.assign.state.Slots[move.Slot]
-		if !owned || ownership.Epoch != move.BaseEpoch || ownership.Owner == move.To || n.activeOverride(move.Slot) != nil {
-			continue
-		}
-		state, known := n.targets[ownership.Owner]
-		if !known || !n.canRevoke(state) || !n.mayReceive(move) {
-			continue
-		}
-		if _, moving := state.moves[move.Slot]; moving {
-			continue
+		state, possible := n.canMove(move)
+		switch {
+		case !possible:
+		case !accepting:
+			n.heldMoves[move.Slot] = heldMove{move: move, since: n.now}
+		default:
+			state.moves[move.Slot] = &slotMove{move: move}
+			state.grantsAt = 0
+			n.dirty = true
 		}
-		state.moves[move.Slot] = &slotMove{move: move}
-		state.grantsAt = 0
-		n.dirty = true
 	}
 }
 
+// canMove returns the state of a slot's owner, and whether this VM may start to move the slot away from it now.
+func (n *Node) canMove(move record.Move) (state *targetState, possible bool) {
+	ownership, owned := n.assign.state.Slots[move.Slot]
+	if !owned || ownership.Epoch != move.BaseEpoch || ownership.Owner == move.To || n.activeOverride(move.Slot) != nil {
+		return nil, false
+	}
+	state, known := n.targets[ownership.Owner]
+	if !known || !n.canRevoke(state) || !n.mayReceive(move) {
+		return nil, false
+	}
+	_, moving := state.moves[move.Slot]
+	return state, !moving
+}
+
 // canRevoke reports whether this VM may revoke slots of a target: it must hold the lease, and the target must have the
 // newest grants, so that keys split from a slot are already excluded from that slot.
 func (n *Node) canRevoke(state *targetState) bool {
@@ -65,6 +77,7 @@
 
 // runMoves advances the planned moves of each target: the slot is revoked first, then the move is appended to the log.
 func (n *Node) runMoves() {
+	n.probeForHeldMoves()
 	for _, id := range n.targetIDs {
 		state := n.targets[id]
 		if len(state.moves) == 0 {
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -97,7 +97,13 @@
 	knownPeers map[model.VMID]string
 	// requestedAt maps slots to the time at which this VM, as the planner, last requested their move.
 	requestedAt map[model.Slot]model.Instant
-	table       *route.Table
+	// heldMoves holds the planned moves that wait until the assign stream is known to accept records.
+	heldMoves map[model.Slot]heldMove
+	// appendedBy is when the assign stream last confirmed an append; 0 if a call to it has failed since.
+	appendedBy model.Instant
+	// probedAt is when the last probe that is not confirmed yet was sent; 0 if there is none.
+	probedAt model.Instant
+	table    *route.Table
 	// pendingStatuses holds the targets whose changed status has not been sent yet.
 	pendingStatuses map[model.TargetID]bool
 }
@@ -125,6 +131,7 @@
 		snapshotAt:      map[record.Stream]model.Instant{},
 		knownPeers:      map[model.VMID]string{},
 		requestedAt:     map[model.Slot]model.Instant{},
+		heldMoves:       map[model.Slot]heldMove{},
 		pendingStatuses: map[model.TargetID]bool{},
 	}
 	n.streams = map[record.Stream]*stream{
@@ -160,7 +167,7 @@
 	case LogRead:
 		n.onLogRead(e)
 	case LogDown:
-		n.onLogDown()
+		n.onLogDown(e)
 	case AppendDone:
 		n.onAppendDone(e)
 	case PeerMessage:
--- a/internal/control/records.go
+++ b/internal/control/records.go
@@ -23,7 +23,10 @@
 	}
 }
 
-func (n *Node) onLogDown() {
+func (n *Node) onLogDown(down LogDown) {
+	if down.Stream == record.AssignStream {
+		n.appendedBy = 0
+	}
 	if n.now.Sub(n.logSeenAt) >= logDownAfter {
 		n.setLogUp(false)
 	}
@@ -45,6 +48,9 @@
 }
 
 func (n *Node) onAppendDone(done AppendDone) {
+	if done.Stream == record.AssignStream {
+		n.onAssignAppend(done.OK)
+	}
 	item, ok := n.outbox.items[done.ID]
 	if !ok {
 		return
--- a/internal/control/rig_test.go
+++ b/internal/control/rig_test.go
@@ -44,6 +44,7 @@
 	sent                        []Send
 	appended                    []record.Record
 	renewed                     []Renew
+	revoked                     []Revoke
 }
 
 // newRig returns a rig in which the given VM ranks first as the lessor of the target first.
@@ -103,6 +104,8 @@
 		case Renew:
 			r.renewed = append(r.renewed, e)
 			r.step(r.respond(e))
+		case Revoke:
+			r.revoked = append(r.revoked, e)
 		case Append:
 			r.appended = append(r.appended, e.Record)
 		case Send:
--- a/internal/entry/effects.go
+++ b/internal/entry/effects.go
@@ -62,7 +62,7 @@
 }
 
 func (e *effects) append(ctx context.Context, effect control.Append) {
-	done := control.AppendDone{ID: effect.Record.ID}
+	done := control.AppendDone{Stream: effect.Stream, ID: effect.Record.ID}
 	if data, err := record.Encode(effect.Record); err != nil {
 		e.log.Error("A record cannot be encoded and is not appended.", logging.ErrorType(err))
 	} else {
--- a/internal/proof/requests/process_test.go
+++ b/internal/proof/requests/process_test.go
@@ -197,7 +197,7 @@
 	limited, cancel := context.WithTimeout(p.ctx, appendTimeout)
 	defer cancel()
 	ok := p.awaitResumed() && p.w.log.append(limited, p, e.Stream, e.Record)
-	p.post(control.AppendDone{ID: e.Record.ID, OK: ok})
+	p.post(control.AppendDone{Stream: e.Stream, ID: e.Record.ID, OK: ok})
 }
 
 func (p *process) renew(e control.Renew) {
--- a/internal/proof/world_test.go
+++ b/internal/proof/world_test.go
@@ -321,7 +321,7 @@
 	finish := func(ok bool) {
 		if !done {
 			done = true
-			deliver(control.AppendDone{ID: e.Record.ID, OK: ok})
+			deliver(control.AppendDone{Stream: e.Stream, ID: e.Record.ID, OK: ok})
 		}
 	}
 	w.after(time.Second, func() { finish(false) })
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -58,6 +58,7 @@
 	Snapshot     *Snapshot     `cbor:"7,keyasint,omitempty"`
 	ConfigPatch  *ConfigPatch  `cbor:"8,keyasint,omitempty"`
 	TargetUp     *TargetUp     `cbor:"9,keyasint,omitempty"`
+	Probe        *Probe        `cbor:"10,keyasint,omitempty"`
 }
 
 // Entry is a record with its offset in the stream.
@@ -134,6 +135,9 @@
 	Incarnation model.Incarnation `cbor:"5,keyasint"`
 }
 
+// Probe changes nothing. A lessor appends it to learn that the log accepts records before it gives up slots.
+type Probe struct{}
+
 // Snapshot holds the folded state up to and including Covers, so that older records may expire.
 type Snapshot struct {
 	Covers model.Offset `cbor:"1,keyasint"`
@@ -202,7 +206,7 @@
 	kinds := 0
 	for _, set := range []bool{
 		r.MemberJoin != nil, r.MemberRemove != nil, r.VMTerminated != nil, r.Reassign != nil,
-		r.Split != nil, r.Snapshot != nil, r.ConfigPatch != nil, r.TargetUp != nil,
+		r.Split != nil, r.Snapshot != nil, r.ConfigPatch != nil, r.TargetUp != nil, r.Probe != nil,
 	} {
 		if set {
 			kinds++
--- a/internal/testbed/control.go
+++ b/internal/testbed/control.go
@@ -97,11 +97,17 @@
 // AwaitPlacement waits until every target of a keyed service owns a slot and no slot has moved for settledTime. The
 // first placement uses only the targets that are already up; slots move to the other targets afterwards.
 func (c *Cluster) AwaitPlacement(ctx context.Context, limit time.Duration) error {
+	return c.awaitSettled(ctx, limit, c.isPlaced)
+}
+
+// awaitSettled waits until the placement that the first entry VM reports is acceptable and no slot has moved for
+// settledTime.
+func (c *Cluster) awaitSettled(ctx context.Context, limit time.Duration, accept func(admin.Status) bool) error {
 	var offset model.Offset
 	since := time.Now()
 	return Await(ctx, limit, "a settled placement", func() bool {
 		status, err := c.Status(ctx, c.Entries()[0])
-		if err != nil || status.AssignOffset != offset || !c.isPlaced(status) {
+		if err != nil || status.AssignOffset != offset || !accept(status) {
 			offset, since = status.AssignOffset, time.Now()
 		}
 		return time.Since(since) > settledTime
--- a/internal/testbed/faults_test.go
+++ b/internal/testbed/faults_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/tarragonpoint/tarragonpoint/internal/admin"
 	"github.com/tarragonpoint/tarragonpoint/internal/model"
 	"github.com/tarragonpoint/tarragonpoint/internal/record"
 	"github.com/tarragonpoint/tarragonpoint/internal/result"
@@ -17,6 +18,14 @@
 // pauseDuration exceeds the longest lease, so that the leases of a paused process expire during the pause.
 const pauseDuration = 4 * time.Second
 
+const (
+	// assignOutage is the length of an outage of the assign stream. It exceeds the time in which a planned move starts.
+	assignOutage = 5 * time.Second
+	// drainedService is the time in which a drained target that cannot hand its keys over must still serve them. It is below
+	// the time after which entry VMs send a leaving target no more requests.
+	drainedService = 3 * time.Second
+)
+
 // newWorkLimit is the time after which a zone that is out of service must get no new work (invariant 4 of the design).
 const newWorkLimit = 5 * time.Second
 
@@ -114,6 +123,66 @@
 	f.checkExchanges()
 }
 
+// Guards against keys that nobody serves while only the assign stream is down, because their owner is drained: it gave up
+// its slots before the moves could be recorded. A leaving target serves for 4 s at most in any case (invariant 9).
+func TestOwnerIsDrainedWhileAssignStreamIsDown(t *testing.T) {
+	skipIfShort(t)
+	f := newFixture(t)
+	load := f.load()
+	defer load.Stop()
+	owner := f.owner("key-1")
+	require.NoError(t, f.SetLogFault(f.ctx, standin.StoreFault{Mode: standin.StoreDown}, record.AssignStream))
+	drained := time.Now()
+	require.Equal(t, result.ExitOK, f.operatorExitCode("target", "drain", string(owner)))
+	for time.Since(drained) < drainedService {
+		f.requireServed("key-1")
+	}
+	require.NoError(t, f.SetLogFault(f.ctx, standin.StoreFault{Mode: standin.StoreUp}, record.AssignStream))
+	require.NoError(t, Await(f.ctx, recoveryTimeout, "another owner of the key", func() bool { return f.owner("key-1") != owner }))
+	f.awaitServed("key-1", false, f.Entries()...)
+	load.Stop()
+	f.checkExchanges()
+}
+
+// Guards against the same fault when slots are to move to a target that returns: their owners must go on serving them for
+// as long as the outage lasts.
+func TestTargetReturnsWhileAssignStreamIsDown(t *testing.T) {
+	skipIfShort(t)
+	f := newFixture(t)
+	returning := f.owner("key-1")
+	owned := func(status admin.Status) int {
+		at := slices.IndexFunc(status.Targets, func(reported admin.Target) bool { return reported.ID == returning })
+		return status.Targets[at].Slots
+	}
+	require.Equal(t, result.ExitOK, f.operatorExitCode("target", "drain", string(returning)))
+	require.NoError(t, f.awaitSettled(f.ctx, recoveryTimeout, func(status admin.Status) bool { return owned(status) == 0 }))
+	load := f.load()
+	defer load.Stop()
+	require.NoError(t, f.SetLogFault(f.ctx, standin.StoreFault{Mode: standin.StoreDown}, record.AssignStream))
+	require.Equal(t, result.ExitOK, f.operatorExitCode("target", "undrain", string(returning)))
+	for start := time.Now(); time.Since(start) < assignOutage; {
+		for i := range loadKeys {
+			f.requireServed(fmt.Sprintf("key-%d", i))
+		}
+	}
+	require.NoError(t, f.SetLogFault(f.ctx, standin.StoreFault{Mode: standin.StoreUp}, record.AssignStream))
+	require.NoError(t, f.awaitSettled(f.ctx, recoveryTimeout, func(status admin.Status) bool { return owned(status) > 0 }))
+	load.Stop()
+	f.checkExchanges()
+}
+
+// requireServed sends an idempotent and a non-idempotent request for a key through every entry VM and requires that they
+// run.
+func (f *fixture) requireServed(key string) {
+	f.t.Helper()
+	for _, e := range f.Entries() {
+		for _, idempotent := range []bool{true, false} {
+			exchange := f.caller.Do(f.ctx, e, f.request(key, idempotent))
+			require.True(f.t, exchange.Ran(), "%v", exchange)
+		}
+	}
+}
+
 // Guards against two lessors or two owners when the entry VMs of one zone can reach neither the entry VMs of the other
 // zone nor the log. Also guards against keys that are not served in the zone of their owner during the partition.
 func TestPartitionBetweenZones(t *testing.T) {
