Ask the quarantine again before held requests are sent

Cause: the quarantine was asked once, when a VM received a request. A copy received before the VM knew of the second crash was held for up to 3 s until its key had an owner again, and then sent, which crashed the owner once more. The same held for requests that wait at the gate of a cold target, and held copies of a request with one strike all ran at once.

Change: each further attempt asks the quarantine again (a request with one strike releases and takes the VM's one place), and a request that waited 10 ms or longer at a gate is not sent if it is blocked by then.

--- a/internal/dispatch/constants.go
+++ b/internal/dispatch/constants.go
@@ -23,6 +23,9 @@
 	// holdLimit is the longest time for which a request is held. After a single failure, a key is served again within
 	// this time.
 	holdLimit = 3 * time.Second
+	// quarantineRecheck is the time at a gate after which the quarantine is checked again, which hashes the body, before the
+	// request is sent. A shorter wait changes little: strikes take up to 500 ms to be confirmed and to spread.
+	quarantineRecheck = 10 * time.Millisecond
 	// closeReserve is the time before the deadline that is reserved for closing a request ID. It allows for one query
 	// and one repetition.
 	closeReserve = 250 * time.Millisecond
--- a/internal/dispatch/defaults.go
+++ b/internal/dispatch/defaults.go
@@ -99,6 +99,8 @@
 
 func (noQuarantine) Enter(model.Instant, uint64) (func(), bool) { return func() {}, true }
 
+func (noQuarantine) Blocks(model.Instant, uint64) bool { return false }
+
 func (noQuarantine) Strike(model.Instant, uint64, model.TargetID) {}
 
 // noObserver discards all measurements.
--- a/internal/dispatch/handle.go
+++ b/internal/dispatch/handle.go
@@ -35,15 +35,15 @@
 	if !allowed {
 		return codeReply("", result.Quarantined)
 	}
-	entry := newQuarantineEntry(leave)
-	defer entry.release()
+	e := &execution{d: d, request: request, fingerprint: fingerprint, tried: map[model.TargetID]bool{}}
+	e.quarantine = newQuarantineEntry(leave)
+	defer func() { e.quarantine.release() }()
 	release, code := d.Admission.Acquire(request.Tenant, request.Service)
 	if code != result.OK {
 		return codeReply("", code)
 	}
 	defer release()
 	d.Retry.Deposit(request.Service)
-	e := &execution{d: d, request: request, quarantine: entry, tried: map[model.TargetID]bool{}}
 	e.deadline = d.Clock.Now().Add(d.timeToDeadline(request))
 	e.holdUntil = d.Clock.Now().Add(holdLimit)
 	return e.run(ctx)
@@ -51,11 +51,12 @@
 
 // execution is the state of one request at the VM that received it. It is used by a single goroutine.
 type execution struct {
-	d          *Dispatcher
-	request    *Request
-	quarantine *quarantineEntry
-	deadline   model.Instant
-	holdUntil  model.Instant
+	d           *Dispatcher
+	request     *Request
+	fingerprint uint64
+	quarantine  *quarantineEntry
+	deadline    model.Instant
+	holdUntil   model.Instant
 	// tried is the set of targets that earlier attempts of a request without a key used.
 	tried map[model.TargetID]bool
 	// mayHaveRun is set once the outcome of an attempt is unknown. The request is then never reported as not run.
@@ -84,10 +85,25 @@
 		if last.Outcome == result.NotRun && (p.slot != nil || p.target == nil) {
 			e.waitToRetry(ctx)
 		}
+		if !e.readmit() {
+			return e.finalReply(codeReply("", result.Quarantined))
+		}
 	}
 	return e.finalReply(last)
 }
 
+// readmit checks the quarantine again before a further attempt, since the request may have crashed targets while it
+// waited. It reports whether the request may still run.
+func (e *execution) readmit() bool {
+	e.quarantine.release()
+	leave, allowed := e.d.Quarantine.Enter(e.d.Clock.Now(), e.fingerprint)
+	if !allowed {
+		leave = func() {}
+	}
+	e.quarantine = newQuarantineEntry(leave)
+	return allowed
+}
+
 // timeLeft returns the time that remains for attempts. A non-idempotent request reserves closeReserve for closing its
 // ID.
 func (e *execution) timeLeft() time.Duration {
--- a/internal/dispatch/interfaces.go
+++ b/internal/dispatch/interfaces.go
@@ -67,6 +67,8 @@
 	Fingerprint(tenant model.Tenant, service model.Service, method, path string, body []byte) uint64
 	// Enter reports whether a request may run now. If it may, the caller must call leave when the request has ended.
 	Enter(now model.Instant, fingerprint uint64) (leave func(), allowed bool)
+	// Blocks reports whether no request with a fingerprint may be sent, also one that was allowed earlier.
+	Blocks(now model.Instant, fingerprint uint64) bool
 	// Strike counts a request that crashed a target.
 	Strike(now model.Instant, fingerprint uint64, target model.TargetID)
 }
--- a/internal/dispatch/lessor.go
+++ b/internal/dispatch/lessor.go
@@ -131,6 +131,7 @@
 	targetGate := d.gates.of(f.Target)
 	waiting, stop := callerconn.UntilLeft(ctx, wanted)
 	defer stop()
+	began := d.Clock.Now()
 	switch targetGate.acquire(waiting.Done()) {
 	case gateFull:
 		return codeReply(f.Attempt, result.Overloaded)
@@ -141,6 +142,9 @@
 	}
 	release := targetGate.release
 	defer func() { release() }()
+	if d.Clock.Now().Sub(began) >= quarantineRecheck && d.isQuarantined(f) {
+		return codeReply(f.Attempt, result.Quarantined)
+	}
 	current, code := d.checkLease(f)
 	if code != result.OK {
 		return codeReply(f.Attempt, code)
--- a/internal/dispatch/strikes.go
+++ b/internal/dispatch/strikes.go
@@ -15,6 +15,12 @@
 	return d.Quarantine.Fingerprint(tenant, service, method, path, body)
 }
 
+// isQuarantined reports whether a request may not be sent because it crashed targets since it was allowed.
+func (d *Dispatcher) isQuarantined(f *message.Forward) bool {
+	fingerprint := d.fingerprint(f.Tenant, f.Service, f.Method, f.Path, f.Body)
+	return d.Quarantine.Blocks(d.Clock.Now(), fingerprint)
+}
+
 // crashed reports whether a target whose connection broke has a new incarnation or refuses new connections. It queries
 // the incarnation with a renewal of term 0, which only reads the target's clock and grants nothing.
 func (d *Dispatcher) crashed(t *route.Target) bool {
--- a/internal/entry/adapters.go
+++ b/internal/entry/adapters.go
@@ -160,6 +160,11 @@
 	return func() { q.table.End(quarantine.Fingerprint(fingerprint)) }, true
 }
 
+// Blocks reports whether requests with a fingerprint are blocked.
+func (q quarantineFilter) Blocks(now model.Instant, fingerprint uint64) bool {
+	return q.table.BlockLeft(now, quarantine.Fingerprint(fingerprint)) > 0
+}
+
 // Strike records that a request crashed a target.
 func (q quarantineFilter) Strike(now model.Instant, fingerprint uint64, id model.TargetID) {
 	q.table.Strike(now, quarantine.Fingerprint(fingerprint), id)
--- a/internal/proof/requests/policies_test.go
+++ b/internal/proof/requests/policies_test.go
@@ -155,6 +155,10 @@
 	return func() { a.quarantine.End(quarantine.Fingerprint(fingerprint)) }, true
 }
 
+func (a quarantineAdapter) Blocks(now model.Instant, fingerprint uint64) bool {
+	return a.quarantine.BlockLeft(now, quarantine.Fingerprint(fingerprint)) > 0
+}
+
 func (a quarantineAdapter) Strike(now model.Instant, fingerprint uint64, id model.TargetID) {
 	a.quarantine.Strike(now, quarantine.Fingerprint(fingerprint), id)
 }
