--- a/review/harness-2/instance.go
+++ b/review/harness-2/instance.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -37,6 +38,9 @@
 	stop    context.CancelFunc
 	// work returns how long a request to a path takes.
 	work func(path string) time.Duration
+	// poisoned is called when the instance begins to run a request that crashes it; nil if there is none.
+	poisoned func(id string)
+	starts   int
 
 	mu      sync.Mutex
 	seq     int
@@ -49,15 +53,37 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := context.WithCancel(context.Background())
 	i := &instance{
-		d: d, id: fmt.Sprintf("i-%s-%d", service, len(d.instances)+1), service: service, zone: zone, address: listener.Addr().String(),
-		born: time.Now().UnixMilli(), work: work, stop: stop, running: make(chan struct{}, slots),
+		d: d, id: fmt.Sprintf("i-%s-%d", service, len(d.instances)+1), service: service, zone: zone, address: listener.Addr().String(), work: work,
 	}
+	d.instances = append(d.instances, i)
+	i.serve(listener)
+	return nil
+}
+
+// serve starts an incarnation of the instance.
+func (i *instance) serve(listener net.Listener) {
+	ctx, stop := context.WithCancel(context.Background())
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.stop, i.born, i.seq, i.waiting, i.running = stop, time.Now().UnixMilli(), 0, 0, make(chan struct{}, slots)
 	i.web = &http.Server{Handler: i, IdleTimeout: 10 * time.Second}
-	go func() { _ = i.web.Serve(listener) }()
+	web := i.web
+	go func() { _ = web.Serve(listener) }()
 	go i.report(ctx)
-	d.instances = append(d.instances, i)
+}
+
+// restart starts the next incarnation at the same address, with another ID.
+func (i *instance) restart() error {
+	listener, err := net.Listen("tcp4", i.address)
+	if err != nil {
+		return err
+	}
+	i.mu.Lock()
+	i.starts++
+	i.id = fmt.Sprintf("%s-%d", strings.TrimSuffix(i.id, fmt.Sprintf("-%d", i.starts-1)), i.starts)
+	i.mu.Unlock()
+	i.serve(listener)
 	return nil
 }
 
@@ -113,6 +139,9 @@
 		return
 	}
 	defer func() { <-i.running }()
+	if r.URL.Path == poisonPath && i.poisoned != nil {
+		i.poisoned(id)
+	}
 	work := i.work(r.URL.Path)
 	i.d.record.logf("instance %s runs %s for %v", i.id, id, work)
 	select {
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -28,6 +28,7 @@
 }
 
 var cases = map[string]func(d *deployment) (result, error){
+	"poison":           poison,
 	"slow-service":     slowService,
 	"trickled-uploads": trickledUploads,
 }
