--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -12,7 +12,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 const (
@@ -52,6 +54,13 @@
 		return exitNotRun
 	}
 	defer d.close()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		d.close()
+		os.Exit(exitNotRun)
+	}()
 	outcome, err := cases[os.Args[1]](d)
 	if err != nil {
 		record.logf("the case could not run: %v", err)
