--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -383,7 +383,7 @@
 	command keyspace.Command, response platform.CommandResponse, err error,
 ) keyspace.Outcome {
 	outcome := commandOutcome(response.Result, err)
-	c.logCommand(command, outcome, err)
+	c.logCommand(command, outcome, response.Status, err)
 	if response.Leaving {
 		c.gw.markLeaving(command.Target.Incarnation, "response to a command")
 	}
@@ -417,7 +417,8 @@
 	return keyspace.Unresponsive
 }
 
-func (c *controller) logCommand(command keyspace.Command, outcome keyspace.Outcome, err error) {
+// logCommand logs a command that ended. status is that of the response; 0 if there was none.
+func (c *controller) logCommand(command keyspace.Command, outcome keyspace.Outcome, status int, err error) {
 	c.gw.metrics.command(command.Kind.String(), outcome.String())
 	if outcome == keyspace.Disconnected || outcome == keyspace.Done && command.Kind == keyspace.GrantKeys && command.Handover == "" {
 		return
@@ -426,6 +427,9 @@
 		logging.TargetID(command.Target.Incarnation.ID), logging.KeyRange(command.From, command.To), logging.Fence(command.Fence),
 		logging.State(outcome.String()),
 	}
+	if status != 0 {
+		fields = append(fields, logging.Status(status))
+	}
 	if err != nil {
 		fields = append(fields, logging.SystemError(err))
 	}
