--- a/internal/standin/platformstub/target.go
+++ b/internal/standin/platformstub/target.go
@@ -48,6 +48,8 @@
 	mode   Mode
 	// leaving is true if all responses state that the target is about to stop.
 	leaving bool
+	// keyless is true if the target's service has no keys.
+	keyless bool
 	// crashOn reports whether a request ends the target's process when the target begins to run it; nil for none.
 	crashOn func(*http.Request) bool
 	// ended is true once the target has crashed.
@@ -141,6 +143,14 @@
 	t.leaving = true
 }
 
+// HoldNoKeys makes the target one of a service without keys: it takes commands for requests, and rejects those without an
+// attempt ID.
+func (t *Target) HoldNoKeys() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.keyless = true
+}
+
 // Arrivals returns the number of requests that have arrived, including rejected ones.
 func (t *Target) Arrivals() int {
 	t.mu.Lock()
@@ -169,6 +179,11 @@
 }
 
 func (t *Target) serve(w http.ResponseWriter, request *http.Request) {
+	if t.rejectsCommand(request) {
+		w.Header().Set("X-Tarragonpoint-Not-Executed", "1")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	if wanted := request.Header.Get("X-Tarragonpoint-Target-Instance"); wanted != "" && wanted != t.ID {
 		if id := request.Header.Get("X-Tarragonpoint-Attempt-Id"); id != "" {
 			w.Header().Set("X-Tarragonpoint-Attempt-Id", id)
@@ -183,16 +198,30 @@
 		w.Header().Set("Server-Leaving", "1")
 	}
 	t.mu.Unlock()
-	switch request.URL.Path {
-	case "/grant", "/release":
+	switch path := request.URL.Path; {
+	case (path == "/grant" || path == "/release") && !t.hasNoKeys():
 		t.command(w, request)
-	case "/health":
+	case path == "/health":
 		t.health(w)
 	default:
 		t.request(w, request)
 	}
 }
 
+func (t *Target) hasNoKeys() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.keyless
+}
+
+// rejectsCommand reports whether a request is a command that the target takes for a request without an attempt ID.
+func (t *Target) rejectsCommand(request *http.Request) bool {
+	isCommand := request.URL.Path == "/grant" || request.URL.Path == "/release"
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.keyless && isCommand && request.Header.Get("X-Tarragonpoint-Attempt-Id") == ""
+}
+
 func (t *Target) health(w http.ResponseWriter) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
