--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -496,12 +496,43 @@
 }
 
 func (c *controller) setElected(started model.Instant, membership platform.Membership) {
+	wasElected := c.electedUntil != 0
 	c.electedUntil = 0
 	for _, partition := range membership.Partitions {
 		if partition == 0 {
 			c.electedUntil = started.Add(membershipTTL)
 		}
 	}
+	if isElected := c.electedUntil != 0; isElected != wasElected {
+		c.logElection(isElected)
+	}
+}
+
+// logElection logs that this VM is elected or not any more, and what decides whether it may replace the leader.
+func (c *controller) logElection(isElected bool) {
+	table := c.manager.Table()
+	c.gw.log.Part(logging.Keyspace).Event("election changed", logging.State(electionState(isElected)), logging.Name(table.Leader),
+		logging.Elapsed(c.gw.clock.Now().Sub(c.leaderSince)), logging.Reason(c.leaderState(table.Leader)))
+}
+
+func electionState(isElected bool) string {
+	if isElected {
+		return "elected"
+	}
+	return "not elected"
+}
+
+// leaderState returns what this VM knows of the leader of the table, for logs.
+func (c *controller) leaderState(leader string) string {
+	switch {
+	case leader == c.self:
+		return "this VM leads"
+	case c.gw.leaderIsRelaying():
+		return "leader sends records"
+	case c.gw.absence.isAbsent(leader):
+		return "no process leads at the leader's address"
+	}
+	return "leader is silent"
 }
 
 // resign gives up leadership, so that the next leader does not have to wait for it to expire.
