Count a lost leader from when it was first seen, not from a VM's election

Cause: the time for which a VM had seen the lost leader in the table was only updated while the VM was elected. Each join moves the election while hundreds of VMs start, and every VM that got it waited for a second or more anew.

TestLostLeaderIsReplacedByAVMThatIsElectedLate failed before and passes.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -214,6 +214,7 @@
 		}
 		c.tableLeader, c.tableEra = table.Leader, model.EraOf(table.Offset)
 	}
+	c.trackLeader(now)
 	if c.electedUntil != 0 && now >= c.electedUntil {
 		c.electedUntil = 0
 	}
@@ -230,15 +231,18 @@
 	c.updateLeadership(now)
 }
 
+// trackLeader records since when this VM has seen the present leader in the table, whether or not this VM is elected.
+func (c *controller) trackLeader(now model.Instant) {
+	if leader := c.manager.Table().Leader; leader != c.leader {
+		c.leader, c.leaderSince = leader, now
+	}
+}
+
 // mayClaimLeadership reports whether this VM may become the leader or remain it: there is no other leader, the current
 // leader has resigned, or this VM receives no updates from it. The elected member changes as members join and leave the
 // group, so a leader that still sends updates is not replaced.
 func (c *controller) mayClaimLeadership(now model.Instant) bool {
 	table := c.manager.Table()
-	if table.Leader != c.leader {
-		c.leader = table.Leader
-		c.leaderSince = now
-	}
 	if table.Leader == "" || table.Resigned || table.Leader == c.self {
 		return true
 	}
