Give log lines about targets a budget of their own

Lines about requests, about targets and about other changes now have three budgets of the same size. TestLinesAboutTargetsDisplaceNoOthers failed before.

--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -57,6 +57,8 @@
 	base      *logrus.Logger
 	limiter   *limiter
 	requests  *lineBudget
+	events    *lineBudget
+	targets   *lineBudget
 	decisions *lineBudget
 	refusals  *lineBudget
 }
@@ -96,7 +98,8 @@
 func newLog(base *logrus.Logger, now func() time.Time) *Log {
 	return &Log{
 		base: base, limiter: newLimiter(now),
-		requests: newLineBudget(now), decisions: newLineBudget(now), refusals: newLineBudget(now),
+		requests: newLineBudget(now), events: newLineBudget(now), targets: newLineBudget(now),
+		decisions: newLineBudget(now), refusals: newLineBudget(now),
 	}
 }
 
@@ -124,10 +127,14 @@
 func (l *Logger) Error(text string, fields ...Field) { l.write(logrus.ErrorLevel, text, fields) }
 
 // Event writes a line at level info about a change of cluster state that the process observed. Such changes are
-// normally rare, so each is logged even if its text repeats. They share the line budget of Request, which limits
-// bursts.
+// normally rare, so each is logged even if its text repeats. Bursts are limited by a budget of the size of that of Request. The
+// lines about targets have another one: hundreds of targets may change at a time, and must displace no line about a leader.
 func (l *Logger) Event(text string, fields ...Field) {
-	l.writeBudgeted(l.log.requests, logrus.InfoLevel, text, fields)
+	budget := l.log.events
+	if l.part == Registry {
+		budget = l.log.targets
+	}
+	l.writeBudgeted(budget, logrus.InfoLevel, text, fields)
 }
 
 // Decision writes a line at level info about a decision on a request that is served as planned. These lines have a budget
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -50,3 +50,23 @@
 	_, err := New(Settings{Level: "lots"})
 	require.True(t, errorx.IsOfType(err, ErrLevel))
 }
+
+// Guards against logs without the requests that failed and the change of the leader: while hundreds of targets changed, their lines
+// used up the budget of all others.
+func TestLinesAboutTargetsDisplaceNoOthers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var out bytes.Buffer
+	log, err := New(Settings{Level: "info", Output: &out, Now: func() time.Time { return now }})
+	require.NoError(t, err)
+	for range 2 * requestBurst {
+		log.Part(Registry).Event("target state changed")
+	}
+	log.Part(Keyspace).Event("this VM became the leader")
+	for range 2 * requestBurst {
+		log.Part(Keyspace).Event("release ended")
+	}
+	log.Part(Request).Request("not served")
+	require.Equal(t, int(requestBurst), strings.Count(out.String(), "target state changed"), "bursts are limited")
+	require.Contains(t, out.String(), "this VM became the leader")
+	require.Contains(t, out.String(), "not served")
+}
