Try a route again whose requests were all rejected after slow responses

Cause: a moving average without decay that decides whether there will be another observation. While all requests are rejected, nothing corrects it.

The weight of the observations now decays with a time constant of 10 s, and the guess of 200 ms keeps the weight of half an observation, so the estimate returns to the guess while nothing is observed. TestRouteIsTriedAgainAfterASlowFirstResponse and TestRouteIsTriedAgainAfterSlowTargets failed before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -148,14 +148,14 @@
 	if j.route.LatencyTarget <= 0 {
 		return 0, false
 	}
-	latest := j.route.LatencyTarget - g.elapsed(now, j) - overload.CallerRoundTrip - g.picker.Work(j.route.Name)
+	latest := j.route.LatencyTarget - g.elapsed(now, j) - overload.CallerRoundTrip - g.picker.Work(now, j.route.Name)
 	return latest, latest > 0
 }
 
 // hedge makes a second attempt and returns true if the time left, the targets and the retry budget allow it.
 func (g *gateway) hedge(ctx context.Context, j *job, results chan<- attemptResult) bool {
 	now := g.clock.Now()
-	if j.route.MaxAttempts < maxParallelAttempts || j.timeLeft(now) < g.picker.Work(j.route.Name) {
+	if j.route.MaxAttempts < maxParallelAttempts || j.timeLeft(now) < g.picker.Work(now, j.route.Name) {
 		return false
 	}
 	if _, ok := g.resolve(j); !ok {
@@ -448,7 +448,7 @@
 	took time.Duration,
 ) {
 	if response != nil && response.NotRun && !response.KeyNotHeld {
-		g.countRejectedWork(route, service, key)
+		g.countRejectedWork(now, route, service, key)
 		return
 	}
 	g.work.add(service, key, min(took, maxKeyWork))
@@ -529,7 +529,7 @@
 		// The owner is about to receive the grant of its keys; an immediate retry would only use up the retry budget.
 		g.await(ctx, g.state.change(), ownerGrantWait)
 	}
-	if repeatable && j.sends < g.maxSends(j, attempt.outcome) && j.timeLeft(now) > g.picker.Work(j.route.Name)/2 {
+	if repeatable && j.sends < g.maxSends(j, attempt.outcome) && j.timeLeft(now) > g.picker.Work(now, j.route.Name)/2 {
 		if !attempt.targetUnavailable {
 			g.metrics.retry(string(j.service))
 		}
--- a/internal/gateway/lost_fleet_test.go
+++ b/internal/gateway/lost_fleet_test.go
@@ -535,7 +535,7 @@
 
 // repeat does what concludeAttempt does with a request whose owner does not hold its key.
 func (f *keyFleet) repeat(vm *keyVM, j *job) {
-	if j.sends >= vm.gw.maxSends(j, attemptNotRun) || j.timeLeft(f.now) <= vm.gw.picker.Work("drafts")/2 {
+	if j.sends >= vm.gw.maxSends(j, attemptNotRun) || j.timeLeft(f.now) <= vm.gw.picker.Work(f.now, "drafts")/2 {
 		f.reject("targets rejected the request")
 		return
 	}
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -37,7 +37,7 @@
 	}
 	chosen := placement{estimate: picker.Estimate{Total: time.Second}}
 	delay := g.hedgeDelay(now, j, chosen)
-	assert.Less(t, delay+g.picker.Work("reads"), route.LatencyTarget)
+	assert.Less(t, delay+g.picker.Work(g.clock.Now(), "reads"), route.LatencyTarget)
 	assert.Greater(t, delay, chosen.estimate.Total)
 	chosen.isOwner = true
 	assert.Equal(t, 2500*time.Millisecond, g.hedgeDelay(now, j, chosen), "the owner of a key would get both attempts")
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -146,7 +146,7 @@
 // waitForPause makes a request wait until its targets want requests again, if there is time to run it then, and rejects it
 // at once otherwise or if this VM is draining. The rejection tells the caller when the pause ends.
 func (g *gateway) waitForPause(now model.Instant, j *job, pause time.Duration) placement {
-	response := pause + g.picker.Work(j.route.Name)
+	response := pause + g.picker.Work(now, j.route.Name)
 	if float64(response) > float64(j.timeLeft(now))*overload.DeadlineFactor || g.draining.Load() {
 		return placement{action: actionReject, response: reject(result.Overloaded, "targets asked for a pause", pause)}
 	}
@@ -187,7 +187,7 @@
 func (g *gateway) decideOverload(now model.Instant, j *job, expected time.Duration) overload.Decision {
 	before := g.deadlines.elapsed(j.route.Name, j.callerHeaders.Timeout)
 	return overload.Decide(overload.Request{
-		Elapsed: g.elapsed(now, j), TimeLeft: j.timeLeft(now), LatencyTarget: j.route.LatencyTarget, Work: g.picker.Work(j.route.Name),
+		Elapsed: g.elapsed(now, j), TimeLeft: j.timeLeft(now), LatencyTarget: j.route.LatencyTarget, Work: g.picker.Work(now, j.route.Name),
 		PreviouslyRejected: before > 0 || j.sends > 0, Urgent: g.isUrgent(j),
 	}, expected)
 }
@@ -253,7 +253,7 @@
 	}
 	estimate := g.picker.Estimate(now, g.pickerRequest(j), &entry.Target)
 	if decision := g.decideOverload(now, j, estimate.Total); !decision.Send {
-		g.countRejectedWork(j.route.Name, j.service, j.callerHeaders.Key)
+		g.countRejectedWork(now, j.route.Name, j.service, j.callerHeaders.Key)
 		return rejectOverloaded(decision, estimate)
 	}
 	return g.sendToOwner(now, j, r, placement{
@@ -273,7 +273,7 @@
 // rejectThrottled rejects a request whose owner rejects most requests. The callers return at random times, spread over as
 // long as they are ready to wait: part of the keys may have another owner by then.
 func (g *gateway) rejectThrottled(now model.Instant, j *job) placement {
-	g.countRejectedWork(j.route.Name, j.service, j.callerHeaders.Key)
+	g.countRejectedWork(now, j.route.Name, j.service, j.callerHeaders.Key)
 	return placement{
 		action:   actionReject,
 		response: reject(result.Overloaded, "owner rejects most requests", overload.SpreadRetryAfter(j.timeLeft(now), rand.Float64())),
@@ -282,15 +282,15 @@
 
 // countRejectedWork adds the work of a request that was rejected because the owner of its key is overloaded to the key's
 // load. Otherwise the load of a hot spot would seem to be what its owner can serve, and too few of its keys would move.
-func (g *gateway) countRejectedWork(route string, service model.Service, key int) {
-	g.work.add(service, key, min(g.picker.Work(route), maxKeyWork))
+func (g *gateway) countRejectedWork(now model.Instant, route string, service model.Service, key int) {
+	g.work.add(service, key, min(g.picker.Work(now, route), maxKeyWork))
 }
 
 // waitForOwner makes a request wait for the owner of its key while there may be time to run it after the wait. It rejects the
 // request at once otherwise or if this VM is draining, with the expected wait as Retry-After.
 func (g *gateway) waitForOwner(now model.Instant, j *job, wait ownerWait) placement {
 	timeLeft := j.timeLeft(now)
-	if timeLeft < wait.least+g.picker.Work(j.route.Name) || g.draining.Load() {
+	if timeLeft < wait.least+g.picker.Work(now, j.route.Name) || g.draining.Load() {
 		g.metrics.ownerWait("rejected", wait.reason)
 		return placement{action: actionReject, response: reject(result.OwnerUnavailable, wait.reason, wait.expected)}
 	}
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -31,9 +31,13 @@
 	typicalSlowness = 1.2
 	// targetSlownessGain is the weight of a new observation in a target's relative work time.
 	targetSlownessGain = 0.15
-	// workGain is the least weight of a new observation in a route's work time. The first observations weigh more, because a VM of
-	// a large deployment sees few of them.
-	workGain = 0.05
+	// workTimeConstant is the time constant with which the weight of the observations of a route's work time decays. A VM that
+	// rejects all requests of a route, because they once took long, observes none and tries it again after some seconds.
+	workTimeConstant = 10 * time.Second
+	// maxWorkWeight is the largest weight of the earlier observations, in observations.
+	maxWorkWeight = 19.0
+	// initialWorkWeight is the weight of initialWork, in observations. A VM of a large deployment sees few responses of a route.
+	initialWorkWeight = 0.5
 	// failureGain is the weight of a new outcome in a target's failure rate.
 	failureGain = 0.2
 	// failureTimeConstant is the time constant with which a failure rate decays while there are no new outcomes.
@@ -139,16 +143,27 @@
 	at     model.Instant
 }
 
-// workMean is the mean work time of a route, in nanoseconds, and the number of observations.
+// workMean is the mean of the observed work times of a route, in nanoseconds, with the weight of the observations.
 type workMean struct {
-	mean         float64
-	observations int
+	mean, weight float64
+	at           model.Instant
+}
+
+func (w *workMean) weightAt(now model.Instant) float64 {
+	return w.weight * decay(now.Sub(w.at), workTimeConstant)
+}
+
+// expected returns the work time that is expected of the next request, in nanoseconds.
+func (w *workMean) expected(now model.Instant) float64 {
+	weight := w.weightAt(now)
+	return (w.mean*weight + float64(initialWork)*initialWorkWeight) / (weight + initialWorkWeight)
 }
 
 // observe adds an observation.
-func (w *workMean) observe(work float64) {
-	w.observations++
-	w.mean += max(workGain, 1/float64(w.observations)) * (work - w.mean)
+func (w *workMean) observe(now model.Instant, work float64) {
+	weight := w.weightAt(now)
+	w.mean += (work - w.mean) / (weight + 1)
+	w.weight, w.at = min(maxWorkWeight, weight+1), now
 }
 
 // New returns a picker. random returns numbers in [0, 1).
@@ -225,7 +240,7 @@
 	if s.hasReport {
 		e.ReportAge = now.Sub(s.reportedAt)
 	}
-	work := p.routeWork(request.Route) * e.TargetSlowness * e.MachineSlowness
+	work := p.routeWork(now, request.Route) * e.TargetSlowness * e.MachineSlowness
 	occupied := float64(e.Own) + e.Others
 	slots := float64(max(1, s.slots))
 	work *= 1 + fullLoadSlowdown*min(1, occupied/slots)
@@ -259,11 +274,9 @@
 	return s
 }
 
-func (p *Picker) routeWork(route string) float64 {
-	if work, found := p.work[route]; found {
-		return work.mean
-	}
-	return float64(initialWork)
+func (p *Picker) routeWork(now model.Instant, route string) float64 {
+	work := p.work[route]
+	return work.expected(now)
 }
 
 // decay returns the remaining weight of a report of the given age.
@@ -358,7 +371,7 @@
 		p.recordReport(now, ticket.serviceZone, s, result.Report)
 	}
 	if result.Responded {
-		p.recordLatency(s, ticket, now.Sub(ticket.started), result.Report)
+		p.recordLatency(now, s, ticket, result.Report)
 	}
 }
 
@@ -383,7 +396,7 @@
 
 // recordLatency updates the route's work time and the target's relative work time. It ignores responses with a report
 // of waiting requests, because their latency may include time in the target's queue.
-func (p *Picker) recordLatency(s *stats, ticket *Ticket, latency time.Duration, report *Report) {
+func (p *Picker) recordLatency(now model.Instant, s *stats, ticket *Ticket, report *Report) {
 	slowness := typicalSlowness
 	if report != nil {
 		if report.Waiting > 0 {
@@ -391,19 +404,19 @@
 		}
 		slowness = report.Slowness
 	}
-	normal := float64(latency) / max(0.2, slowness)
+	normal := float64(now.Sub(ticket.started)) / max(0.2, slowness)
 	work := p.work[ticket.route]
-	work.observe(normal / s.targetSlowness)
+	work.observe(now, normal/s.targetSlowness)
 	p.work[ticket.route] = work
-	ratio := min(5, max(0.3, normal/work.mean))
+	ratio := min(5, max(0.3, normal/work.expected(now)))
 	s.targetSlowness += targetSlownessGain * (ratio - s.targetSlowness)
 }
 
 // Work returns the estimated work time of a route on a typical target.
-func (p *Picker) Work(route string) time.Duration {
+func (p *Picker) Work(now model.Instant, route string) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return time.Duration(p.routeWork(route) * typicalSlowness)
+	return time.Duration(p.routeWork(now, route) * typicalSlowness)
 }
 
 // Forget drops the statistics of targets that have no requests in flight and were not used for the given time.
--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -210,7 +210,7 @@
 		now = now.Add(1200 * time.Millisecond)
 		p.End(now, ticket, Result{Responded: true, Report: &Report{Slots: 2, Slowness: 1}})
 	}
-	assert.InEpsilon(t, 1200*typicalSlowness, p.Work(localRequest.Route).Milliseconds(), 0.1)
+	assert.InEpsilon(t, 1200*typicalSlowness, p.Work(now, localRequest.Route).Milliseconds(), 0.1)
 }
 
 // Guards against a single slow response that changes the work time of a route that is known well.
@@ -225,7 +225,33 @@
 	for range 100 {
 		respond(200 * time.Millisecond)
 	}
-	before := p.Work(localRequest.Route)
+	before := p.Work(now, localRequest.Route)
 	respond(time.Second)
-	assert.Less(t, p.Work(localRequest.Route), before*5/4)
+	assert.Less(t, p.Work(now, localRequest.Route), before*5/4)
+}
+
+// Guards against a VM that never sends a request of a route again, because the only response that it got took nearly as long as
+// the route's timeout: it would reject all of them, and observe no other.
+func TestRouteIsTriedAgainAfterASlowFirstResponse(t *testing.T) {
+	const timeout = 6 * time.Second
+	p, list := newPicker(), targets("a", "a")
+	ticket := p.Begin(at(0), localRequest, &list[0])
+	now := at(timeout)
+	p.End(now, ticket, Result{Responded: true, Report: &Report{Slots: 2, Slowness: 1}})
+	assert.Less(t, p.Estimate(now, localRequest, &list[1]).Total, timeout)
+}
+
+// Guards against the same after many slow responses of all targets.
+func TestRouteIsTriedAgainAfterSlowTargets(t *testing.T) {
+	const timeout = 2 * time.Second
+	p, list := newPicker(), targets("a", "a")
+	now := at(0)
+	for i := range 40 {
+		ticket := p.Begin(now, localRequest, &list[i%2])
+		now = now.Add(3 * timeout)
+		p.End(now, ticket, Result{Responded: true, Report: &Report{Slots: 2, Slowness: 1}})
+	}
+	require.Greater(t, p.Estimate(now, localRequest, &list[0]).Total, timeout, "requests are rejected")
+	p.Forget(now.Add(time.Minute), 30*time.Second)
+	assert.Less(t, p.Estimate(now.Add(time.Minute), localRequest, &list[0]).Total, timeout)
 }
