Keep a test's expected time below the limit for rejections

Traced: slowDown reports responses of 3 s until a target is expected to take 1.25 s. Since the first of them counts for two thirds, so the estimate jumped to over 1.6 s, from which requests of the route are rejected at once; before, it rose in small steps.

--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -161,13 +161,13 @@
 }
 
 // slowDown makes the gateway expect that a service takes over a second, so that no response is overdue, and no attempt
-// hedged, before the route's timeout of 3 s.
+// hedged, before the route's timeout of 3 s. It stays below the 1.6 s from which requests of the route are rejected.
 func slowDown(g *gateway, service model.Service, route string) {
 	request := picker.Request{Route: route, Zone: "a", Region: "north"}
 	for _, entry := range g.state.service(g.clock.Now(), service) {
 		for now := g.clock.Now(); g.picker.Estimate(now, request, &entry.Target).Total < 1250*time.Millisecond; {
 			ticket := g.picker.Begin(now, request, &entry.Target)
-			g.picker.End(now.Add(3*time.Second), ticket, picker.Result{Responded: true})
+			g.picker.End(now.Add(1400*time.Millisecond), ticket, picker.Result{Responded: true})
 		}
 	}
 }
