--- a/review/_harness-3/client.go
+++ b/review/_harness-3/client.go
@@ -31,6 +31,8 @@
 	method, path, cookie string
 	body                 []byte
 	deadline             time.Duration
+	// key is the key plus one; 0 for a request without one.
+	key int
 }
 
 // answer is what the client got: a status, or 0 if its connection ended.
@@ -62,6 +64,9 @@
 	if r.cookie != "" {
 		call.Header.Set("Cookie", r.cookie)
 	}
+	if r.key > 0 {
+		call.Header.Set("X-Tarragonpoint-Shard-Key", fmt.Sprint(r.key-1))
+	}
 	c.w.add(event{At: time.Now().UnixMicro(), Event: "sent", ID: a.id, Path: r.path, Caller: c.name, Text: "to " + g.name})
 	response, err := c.http.Do(call)
 	if err != nil {
--- a/review/_harness-3/crash.go
+++ b/review/_harness-3/crash.go
@@ -9,7 +9,20 @@
 
 // The case crash: a request of one caller crashes the instances that run it, while other callers send ordinary requests with the same
 // path, which have no body either.
-func init() { cases["crash"] = playCrash }
+func init() {
+	cases["crash"] = func(w *world) (bool, error) {
+		return playCrash(w, deadly{method: "GET", path: "/lohu930/2f", shared: true})
+	}
+	cases["late-crash"] = func(w *world) (bool, error) {
+		return playCrash(w, deadly{method: "GET", path: "/lohu930/2f?exhausts-ms=1600"})
+	}
+}
+
+// deadly is the request that crashes instances. shared is true if other callers send ordinary requests with the same path.
+type deadly struct {
+	method, path string
+	shared       bool
+}
 
 const (
 	// crashedBack is how long an instance is gone after a crash.
@@ -18,8 +31,8 @@
 	deadlyRetries = 3
 )
 
-func playCrash(w *world) (bool, error) {
-	w.publish(route("listing", "/lohu930/", "safe", "desk", 2*time.Second, 2), service("desk", false), limits)
+func playCrash(w *world, d deadly) (bool, error) {
+	w.publish(route("listing", "/lohu930/", "safe", "desk", time.Second, 2), service("desk", false), limits)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	for n := range 8 {
@@ -36,7 +49,10 @@
 		return false, err
 	}
 	time.Sleep(contact)
-	path := "/lohu930/2f"
+	path := "/lohu930/3a"
+	if d.shared {
+		path = d.path
+	}
 	for n := range 6 {
 		c := w.newClient(fmt.Sprintf("reader-%d", n), fmt.Sprintf("127.0.0.%d", 10+n))
 		go repeat(ctx, 5, func() {
@@ -50,7 +66,7 @@
 	}
 	c := w.newClient("deadly", "127.0.0.99")
 	for end := time.Now().Add(45 * time.Second); time.Now().Before(end); time.Sleep(1500 * time.Millisecond) {
-		c.send(ctx, w.gateways[rand.IntN(len(w.gateways))], request{method: "GET", path: path, cookie: cookie, deadline: 2 * time.Second})
+		c.send(ctx, w.gateways[rand.IntN(len(w.gateways))], request{method: d.method, path: d.path, cookie: cookie, deadline: 2 * time.Second})
 	}
 	return judgeCrash(w), nil
 }
--- a/review/_harness-3/instance.go
+++ b/review/_harness-3/instance.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -31,19 +32,19 @@
 	waiting  int
 	draining bool
 	free     chan struct{}
-	holds    []hold
-	keys     map[int]int
+	// fences and until are the highest fence and the end of the hold of each key, and working the number of requests at work on it.
+	fences  [keys]uint64
+	until   [keys]time.Time
+	working [keys]int
+	// lateShare is the share of grants that get no answer and are applied late.
+	lateShare float64
 }
 
-// hold is a range of keys that the instance holds until a time; a released one has no time.
-type hold struct {
-	from, to int
-	fence    uint64
-	until    time.Time
-}
+// keys is the number of keys of a service.
+const keys = 65536
 
 func runInstance(args []string) {
-	s := &server{keys: map[int]int{}, born: time.Now()}
+	s := &server{born: time.Now()}
 	flags := flag.NewFlagSet("instance", flag.ExitOnError)
 	flags.StringVar(&s.id, "id", "", "")
 	flags.StringVar(&s.service, "service", "desk", "")
@@ -55,6 +56,7 @@
 	flags.DurationVar(&s.work, "work", 50*time.Millisecond, "")
 	flags.DurationVar(&s.cold, "cold", 0, "")
 	flags.BoolVar(&s.keyed, "keyed", false, "")
+	flags.Float64Var(&s.lateShare, "late", 0, "")
 	_ = flags.Parse(args)
 	s.free = make(chan struct{}, s.slots)
 	listener, err := net.Listen("tcp4", s.address)
@@ -168,11 +170,26 @@
 		return
 	}
 	defer func() { <-s.free }()
+	key := -1
+	if s.keyed {
+		var err error
+		if key, err = strconv.Atoi(r.Header.Get("X-Tarragonpoint-Shard-Key")); err != nil {
+			key = 0
+		}
+	}
 	s.begin()
 	defer s.end()
-	s.say(event{Event: "begin", ID: id, Path: r.RequestURI, Caller: caller})
+	if !s.beginKey(key) {
+		s.refuse(w, http.StatusMisdirectedRequest)
+		return
+	}
+	defer s.endKey(key)
+	s.say(event{Event: "begin", ID: id, Path: r.RequestURI, Caller: caller, Key: key})
 	if strings.Contains(r.Header.Get("Cookie"), "draft=broken") {
-		// This request crashes each instance that begins to run it.
+		// This request crashes each instance that begins to run it, after it has used up the instance's memory for the time that it states.
+		if wait, err := strconv.Atoi(r.URL.Query().Get("exhausts-ms")); err == nil {
+			time.Sleep(time.Duration(wait) * time.Millisecond)
+		}
 		s.say(event{Event: "crash", ID: id, Path: r.RequestURI, Caller: caller})
 		os.Exit(3)
 	}
@@ -224,39 +241,98 @@
 
 // command executes a grant or a release.
 func (s *server) command(w http.ResponseWriter, r *http.Request) {
-	var body struct {
-		From  int    `json:"from"`
-		To    int    `json:"target"`
-		Fence uint64 `json:"fence"`
-		Hold  string `json:"hold_time"`
+	arrived := time.Now()
+	var body rangeCommand
+	if json.NewDecoder(r.Body).Decode(&body) != nil || body.From < 0 || body.To >= keys {
+		w.WriteHeader(http.StatusBadRequest)
+		return
 	}
-	if json.NewDecoder(r.Body).Decode(&body) != nil {
+	if r.URL.Path == "/release" {
+		s.release(w, body)
+		return
+	}
+	length, err := time.ParseDuration(body.Hold)
+	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if rand.Float64() < s.lateShare {
+		time.Sleep(time.Duration(2000+rand.IntN(4000)) * time.Millisecond)
+		s.grant(body, arrived.Add(length))
+		panic(http.ErrAbortHandler)
+	}
+	if !s.grant(body, arrived.Add(length)) {
+		w.WriteHeader(http.StatusConflict)
+	}
+}
+
+// rangeCommand is the body of a grant or a release.
+type rangeCommand struct {
+	From  int    `json:"from"`
+	To    int    `json:"target"`
+	Fence uint64 `json:"fence"`
+	Hold  string `json:"hold_time"`
+}
+
+// grant takes the keys until a time, unless a higher fence was seen on one of them.
+func (s *server) grant(body rangeCommand, until time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	overlaps := func(h hold) bool { return h.from <= body.To && body.From <= h.to }
-	if r.URL.Path == "/grant" {
-		for _, h := range s.holds {
-			if overlaps(h) && h.fence > body.Fence {
-				w.WriteHeader(http.StatusConflict)
-				return
-			}
+	for key := body.From; key <= body.To; key++ {
+		if s.fences[key] > body.Fence {
+			return false
 		}
-		length, err := time.ParseDuration(body.Hold)
-		if err != nil {
-			w.WriteHeader(http.StatusBadRequest)
-			return
-		}
-		s.holds = append(s.holds, hold{from: body.From, to: body.To, fence: body.Fence, until: time.Now().Add(length)})
-		return
 	}
-	for i := range s.holds {
-		if overlaps(s.holds[i]) {
-			s.holds[i].until = time.Time{}
-		}
+	for key := body.From; key <= body.To; key++ {
+		s.fences[key], s.until[key] = body.Fence, until
+	}
+	s.say(event{Event: "grant", Keys: &keyEvent{From: body.From, To: body.To, Fence: body.Fence, Until: until.UnixMicro()}})
+	return true
+}
+
+// release stops work on the keys, and responds once the work at hand has ended.
+func (s *server) release(w http.ResponseWriter, body rangeCommand) {
+	s.mu.Lock()
+	for key := body.From; key <= body.To; key++ {
+		s.fences[key], s.until[key] = max(s.fences[key], body.Fence), time.Time{}
+	}
+	s.say(event{Event: "release", Keys: &keyEvent{From: body.From, To: body.To, Fence: body.Fence}})
+	s.mu.Unlock()
+	for s.isWorking(body) {
+		time.Sleep(5 * time.Millisecond)
 	}
-	s.holds = append(s.holds, hold{from: body.From, to: body.To, fence: body.Fence})
 	w.Header().Set("X-Tarragonpoint-Handover", strconv.FormatUint(body.Fence, 16))
 }
+
+func (s *server) isWorking(body rangeCommand) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key := body.From; key <= body.To; key++ {
+		if s.working[key] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// beginKey begins work on a key if the instance holds it. key is -1 for a service without keys.
+func (s *server) beginKey(key int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if key < 0 {
+		return true
+	}
+	if !time.Now().Before(s.until[key]) {
+		return false
+	}
+	s.working[key]++
+	return true
+}
+
+func (s *server) endKey(key int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if key >= 0 {
+		s.working[key]--
+	}
+}
--- a/review/_harness-3/world.go
+++ b/review/_harness-3/world.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -56,6 +57,18 @@
 	Path   string `json:"path,omitempty"`
 	Caller string `json:"caller,omitempty"`
 	Text   string `json:"text,omitempty"`
+	// Key is the key of a request that begins.
+	Key int `json:"key,omitempty"`
+	// Keys are those of a grant or release.
+	Keys *keyEvent `json:"keys,omitempty"`
+}
+
+// keyEvent is a range of keys under a fence, held until a time in Unix microseconds.
+type keyEvent struct {
+	From  int    `json:"from"`
+	To    int    `json:"to"`
+	Fence uint64 `json:"fence"`
+	Until int64  `json:"until,omitempty"`
 }
 
 func newWorld(recordFile string) (*world, error) {
@@ -76,7 +89,7 @@
 	}
 	w := &world{
 		trouble: os.Getenv("TROUBLE") != "0", dir: dir, program: program, file: file, record: bufio.NewWriter(file), started: time.Now(),
-		instances: map[string]*instance{}, store: standin.NewStore(standin.StoreOptions{KeepAge: 20 * time.Second}),
+		instances: map[string]*instance{}, store: standin.NewStore(standin.StoreOptions{KeepAge: 20 * time.Second, Era: uint64(envInt("ERA", 0))}),
 	}
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -119,6 +132,9 @@
 	defer w.mu.Unlock()
 	w.events = append(w.events, e)
 	at := time.UnixMicro(e.At).Sub(w.started).Seconds()
+	if e.Keys != nil {
+		e.Text = fmt.Sprintf("keys %d..%d fence %d until %.3f", e.Keys.From, e.Keys.To, e.Keys.Fence, time.UnixMicro(e.Keys.Until).Sub(w.started).Seconds())
+	}
 	fmt.Fprintf(w.record, "%9.3f s  %-8s %-8s %s %s %s %s\n", at, e.Instance, e.Event, e.ID, e.Path, e.Caller, e.Text)
 }
 
@@ -387,3 +403,13 @@
 	case <-ctx.Done():
 	}
 }
+
+// envInt returns the number in an environment variable, or value if it is not set.
+func envInt(name string, value int) int {
+	if text := os.Getenv(name); text != "" {
+		if number, err := strconv.Atoi(text); err == nil {
+			return number
+		}
+	}
+	return value
+}
