--- a/review/_harness-3/crash.go
+++ b/review/_harness-3/crash.go
@@ -13,6 +13,7 @@
 	cases["crash"] = func(w *world) (bool, error) {
 		return playCrash(w, deadly{method: "GET", path: "/lohu930/2f", shared: true})
 	}
+	cases["crash-alone"] = func(w *world) (bool, error) { return playCrash(w, deadly{method: "GET", path: "/lohu930/2f"}) }
 	cases["late-crash"] = func(w *world) (bool, error) {
 		return playCrash(w, deadly{method: "GET", path: "/lohu930/2f?exhausts-ms=1600"})
 	}
--- a/review/_harness-3/drill.go
+++ b/review/_harness-3/drill.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/tarragonpoint/tarragonpoint/internal/standin"
@@ -14,6 +13,9 @@
 // The case drill: soon after the system's first start the store comes back from a copy that is some seconds old, and all VMs lose power.
 func init() { cases["drill"] = playDrill }
 
+// copyAge is the age of the copy from which the store comes back.
+const copyAge = 6 * time.Second
+
 func playDrill(w *world) (bool, error) {
 	config := []string{route("drafts", "/drafts/", "upload", "review", 3*time.Second, 2), service("review", true), limits}
 	w.publish(config...)
@@ -46,18 +48,18 @@
 	}
 	time.Sleep(4 * time.Second)
 	if w.trouble {
+		w.note("drill: the store is away, and all VMs lose power")
 		w.store.SetFault(standin.StoreFault{Mode: standin.StoreUnresponsive})
-		w.note("drill: the store is away")
 		var all sync.WaitGroup
 		for _, g := range w.gateways {
 			all.Add(1)
-			go func() { defer all.Done(); g.signal(syscall.SIGKILL); <-g.exited }()
+			go func() { defer all.Done(); g.kill() }()
 		}
 		all.Wait()
-		time.Sleep(200 * time.Millisecond)
-		w.store.Restore(6 * time.Second)
+		time.Sleep(300 * time.Millisecond)
+		w.store.Restore(copyAge)
 		w.store.SetFault(standin.StoreFault{Mode: standin.StoreUp})
-		w.note("drill: the store is back from a copy that is 6 s old, in era %d", w.store.Era())
+		w.note("drill: the store is back from a copy that is %v old, in era %d", copyAge, w.store.Era())
 		for _, g := range w.gateways {
 			if err := g.start(); err != nil {
 				return false, err
--- a/review/_harness-3/world.go
+++ b/review/_harness-3/world.go
@@ -96,7 +96,7 @@
 		return nil, err
 	}
 	w.address = listener.Addr().String()
-	go func() { _ = http.Serve(listener, w.store) }()
+	go func() { _ = http.Serve(listener, http.HandlerFunc(w.serveStore)) }()
 	w.note("store at %s, trouble %v", w.address, w.trouble)
 	return w, nil
 }
@@ -413,3 +413,9 @@
 	}
 	return value
 }
+
+// serveStore serves the store, which states its era in all its answers, from the first era on.
+func (w *world) serveStore(writer http.ResponseWriter, r *http.Request) {
+	writer.Header().Set("Store-Era", strconv.FormatUint(w.store.Era(), 10))
+	w.store.ServeHTTP(writer, r)
+}
