--- a/review/_harness-3/main.go
+++ b/review/_harness-3/main.go
@@ -3,10 +3,17 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
+// longest is the longest time that a case may take.
+const longest = 110 * time.Second
+
 // Exit codes of a case.
 const (
 	exitHeld   = 0
@@ -37,7 +44,26 @@
 		return exitNotRun
 	}
 	defer w.close()
-	broken, err := cases[name](w)
+	type outcome struct {
+		broken bool
+		err    error
+	}
+	ended := make(chan outcome, 1)
+	go func() {
+		broken, err := cases[name](w)
+		ended <- outcome{broken, err}
+	}()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	var broken bool
+	select {
+	case o := <-ended:
+		broken, err = o.broken, o.err
+	case <-stop:
+		err = errors.New("stopped by a signal")
+	case <-time.After(longest):
+		err = errors.New("the case takes too long")
+	}
 	switch {
 	case err != nil:
 		w.note("the case could not run: %v", err)
