--- a/review/_harness-3/client.go
+++ b/review/_harness-3/client.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -102,3 +103,18 @@
 		}
 	}
 }
+
+// hotKeys draws keys, half of them from a hot spot.
+type hotKeys struct {
+	mu   sync.Mutex
+	spot int
+}
+
+func (h *hotKeys) draw() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if rand.IntN(2) == 0 {
+		return h.spot + rand.IntN(100)
+	}
+	return rand.IntN(keys)
+}
