--- a/review/_harness-3/stale.go
+++ b/review/_harness-3/stale.go
@@ -22,7 +22,9 @@
 const (
 	staleVMs       = 3
 	staleInstances = 8
-	// staleRounds is how often that happens.
+	// evacuateAfter is how long after that a zone is evacuated.
+	evacuateAfter = 300 * time.Millisecond
+	// staleRounds is how often all that happens.
 	staleRounds = 7
 )
 
@@ -73,7 +75,7 @@
 			w.note("the store turns %s away, which leads", w.gateways[leader].name)
 			away[leader].Store(true)
 		}
-		time.Sleep(300 * time.Millisecond)
+		time.Sleep(evacuateAfter)
 		w.evacuate(zone, true)
 		time.Sleep(time.Duration(envInt("AFTER", 1200)) * time.Millisecond)
 		if w.trouble {
--- a/review/_harness-3/world.go
+++ b/review/_harness-3/world.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -311,13 +312,18 @@
 	return errors.New(failure)
 }
 
+// freeAddress returns a loopback address whose port no process listens on. Its port is below those that the system gives to
+// connections, so none of them takes it before it is used.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range 100 {
+		listener, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(20000)))
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		return listener.Addr().String(), nil
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
+	return "", errors.New("no free port")
 }
 
 // instance is a process of a stand-in for an instance.
